Set up the package, its reducer and the design page

Cause: the repository was empty; the parts need one contract before they are written in parallel. Conclusion: decision parts can be written against core and the design page.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+VENV ?= .venv
+PYTHON ?= python3
+PY = $(VENV)/bin/python
+STAMP = $(VENV)/.installed
+
+.PHONY: setup test demo matrix bench slopes format catalogue
+
+$(STAMP): requirements/lock.txt pyproject.toml
+	test -x $(PY) || $(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install -q -r requirements/lock.txt
+	$(PY) -m pip install -q --no-deps --no-build-isolation -e . || \
+	    $(PY) -m pip install -q --no-deps -e .
+	touch $@
+
+setup: $(STAMP)
+
+test: $(STAMP)
+	$(PY) -m ruff format --check .
+	$(PY) -m ruff check .
+	$(PY) -m tools.run_tests
+
+demo: $(STAMP)
+	$(PY) -m examples.demo
+
+matrix: $(STAMP)
+	$(PY) -m jackdawsill.matrix
+
+bench: $(STAMP)
+	$(PY) -m benchmarks.fanout
+
+slopes: $(STAMP)
+	$(PY) -m benchmarks.slopes
+
+catalogue: $(STAMP)
+	$(PY) -m tools.catalogue
+
+format: $(STAMP)
+	$(PY) -m ruff format .
+	$(PY) -m ruff check --fix .
--- /dev/null
+++ b/jackdawsill/core/_effects.py
@@ -0,0 +1,172 @@
+"""Effects: everything that the reducer can ask the daemon to do."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from jackdawsill.core._events import Event
+from jackdawsill.exceptions import JackdawsillError
+
+
+@dataclass(slots=True, frozen=True)
+class Effect:
+    """Base class of all effects."""
+
+
+@dataclass(slots=True, frozen=True)
+class SendSub(Effect):
+    """Send a sub-request to a replica; `timeout_s` counts from now."""
+
+    sub_id: int
+    request_id: str
+    replica: str
+    address: str  # host:port of the backend server
+    shard: str
+    snapshot: str
+    body: bytes
+    timeout_s: float
+    repeatable: bool = True
+    n_connections_max: int = 1
+
+
+@dataclass(slots=True, frozen=True)
+class CancelSub(Effect):
+    """Cancel a sub-request by message, so that its connection stays open."""
+
+    sub_id: int
+
+
+@dataclass(slots=True, frozen=True)
+class MissingShard:
+    """A shard that an answer does not cover, with the reason."""
+
+    shard: str
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """Answer to a caller; `covered` names exactly the shards included."""
+
+    request_id: str
+    route: str
+    snapshot: str
+    generation: int
+    complete: bool
+    covered: tuple[str, ...]
+    missing: tuple[MissingShard, ...]
+    items: tuple[dict[str, Any], ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Deliver(Effect):
+    """Send the answer of a query to its caller."""
+
+    query_id: int
+    answer: Answer
+
+
+@dataclass(slots=True, frozen=True)
+class Refuse(Effect):
+    """Send a typed refusal to a caller; `ticket` is set with status 428."""
+
+    query_id: int
+    error: JackdawsillError
+    ticket: str | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class SetTimer(Effect):
+    """Ask for `TimerFired(timer_id)` at the monotonic time `at_s`."""
+
+    timer_id: str
+    at_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class ClearTimer(Effect):
+    """Drop a timer; unknown timers are ignored."""
+
+    timer_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class OpenLink(Effect):
+    """Open a stream to a peer at `address` under the given link id."""
+
+    link_id: int
+    address: str
+
+
+@dataclass(slots=True, frozen=True)
+class CloseLink(Effect):
+    """Close a stream after the messages queued on it were written."""
+
+    link_id: int
+
+
+@dataclass(slots=True, frozen=True)
+class SendPeer(Effect):
+    """Write a message of a class in `jackdawsill.peers` to a link."""
+
+    link_id: int
+    message: Any
+
+
+@dataclass(slots=True, frozen=True)
+class ReadConfig(Effect):
+    """Read a key; with `wait_s` above 0, wait for a version other than `version`."""
+
+    key: str
+    wait_s: float = 0.0
+    version: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class ReadHostList(Effect):
+    """Read the platform's host list."""
+
+
+@dataclass(slots=True, frozen=True)
+class SetReadiness(Effect):
+    """Set the answer of the balancer's health check."""
+
+    ready: bool
+    reason: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class LogEvent(Effect):
+    """Log the event with the given number and fields."""
+
+    number: int
+    fields: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class Count(Effect):
+    """Add `value` to a counter."""
+
+    name: str
+    value: float = 1.0
+    labels: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Observe(Effect):
+    """Record `value` in a histogram; times are in seconds."""
+
+    name: str
+    value: float
+    labels: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Raise(Effect):
+    """Feed `event` to the reducer directly after the current one."""
+
+    event: Event
+
+
+@dataclass(slots=True, frozen=True)
+class Exit(Effect):
+    """End the process with status 0 after queued replies were written."""
--- /dev/null
+++ b/jackdawsill/core/_reducer.py
@@ -0,0 +1,51 @@
+"""The reducer: the one place where events change the state of a host."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING, TypeVar
+
+from jackdawsill.core._effects import Effect, Raise
+from jackdawsill.core._events import Event, PauseDetected
+
+if TYPE_CHECKING:
+    from jackdawsill.core._state import HostState
+
+TICK_S = 0.1
+PAUSE_LIMIT_S = 1.0
+
+E = TypeVar("E", bound=Event)
+Handler = Callable[["HostState", E, float], list[Effect]]
+
+HANDLERS: dict[type[Event], list[Handler]] = {}
+
+
+def handles(event_type: type[E]) -> Callable[[Handler], Handler]:
+    """Return a decorator that registers a handler of `event_type`."""
+
+    def decorate(handler: Handler) -> Handler:
+        HANDLERS.setdefault(event_type, []).append(handler)
+        return handler
+
+    return decorate
+
+
+def reduce(state: "HostState", event: Event, now: float) -> list[Effect]:
+    """Apply `event` to `state` and return the effects to carry out in order."""
+    pending: deque[Event] = deque()
+    gap_s = 0.0 if state.last_event_at_ is None else now - state.last_event_at_
+    if gap_s > PAUSE_LIMIT_S:
+        # A host that was paused acts on an outdated view; every part marks its
+        # state unconfirmed before the event that woke the process is handled.
+        pending.append(PauseDetected(gap_s))
+    pending.append(event)
+    state.last_event_at_ = now
+    effects: list[Effect] = []
+    while pending:
+        current = pending.popleft()
+        for handler in HANDLERS.get(type(current), ()):
+            for effect in handler(state, current, now):
+                if isinstance(effect, Raise):
+                    pending.append(effect.event)
+                else:
+                    effects.append(effect)
+    return effects
--- /dev/null
+++ b/jackdawsill/logs/_registry.py
@@ -0,0 +1,29 @@
+"""Registry of numbered log events."""
+
+from dataclasses import dataclass
+
+import logbook
+
+
+@dataclass(slots=True, frozen=True)
+class EventSpec:
+    """Describe one numbered log event; `template` names its fields."""
+
+    number: int
+    name: str
+    level: int
+    template: str
+    meaning: str
+
+
+LOG_EVENTS: dict[int, EventSpec] = {}
+
+
+def register_log_event(
+    number: int, name: str, template: str, meaning: str, level: int = logbook.INFO
+) -> int:
+    """Register a log event and return its number."""
+    if number in LOG_EVENTS:
+        raise ValueError(f"log event {number} is already {LOG_EVENTS[number].name}")
+    LOG_EVENTS[number] = EventSpec(number, name, level, template, meaning)
+    return number
--- /dev/null
+++ b/jackdawsill/membership/__init__.py
@@ -0,0 +1,1 @@
+"""membership."""
--- /dev/null
+++ b/jackdawsill/peers/_messages.py
@@ -0,0 +1,27 @@
+"""Typed messages between hosts."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+
+@dataclass(slots=True, frozen=True)
+class PeerMessage:
+    """Base class of all messages between hosts."""
+
+
+M = TypeVar("M", bound=type[PeerMessage])
+
+MESSAGES: dict[str, type[PeerMessage]] = {}
+
+
+def register_message(kind: str) -> Callable[[M], M]:
+    """Return a class decorator that registers a message under its wire name."""
+
+    def decorate(message_type: M) -> M:
+        if kind in MESSAGES:
+            raise ValueError(f"message kind {kind} is already taken")
+        MESSAGES[kind] = message_type
+        return message_type
+
+    return decorate
--- /dev/null
+++ b/jackdawsill/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""quarantine."""
--- /dev/null
+++ b/jackdawsill/snapshots/__init__.py
@@ -0,0 +1,1 @@
+"""snapshots."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developer tools that are not part of the package."""
