--- /dev/null
+++ b/jackdawsill/settings/_model.py
@@ -0,0 +1,182 @@
+"""Typed process settings; pydantic checks types and ranges."""
+
+from dataclasses import field
+from enum import StrEnum
+from ipaddress import ip_address
+from typing import Annotated
+from urllib.parse import urlsplit
+
+from pydantic import (
+    AfterValidator,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    StringConstraints,
+    model_validator,
+)
+from pydantic.dataclasses import dataclass
+
+MIN_FLEET_KEY_LENGTH = 16
+MAX_PORT = 65_535
+
+
+class MetricsMode(StrEnum):
+    """Name how metrics leave the process."""
+
+    SCRAPE = "scrape"
+    PUSH = "push"
+    OFF = "off"
+
+
+class LogLevel(StrEnum):
+    """Name the lowest level that is written."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class LogStream(StrEnum):
+    """Name the stream that receives log lines; hosts keep nothing on disk."""
+
+    STDERR = "stderr"
+    STDOUT = "stdout"
+
+
+def check_ip_address(value: str) -> str:
+    """Return the usual form of an IP address that a peer can connect to."""
+    try:
+        address = ip_address(value)
+    except ValueError:
+        raise ValueError(f"{value!r} is not an IP address") from None
+    if address.is_unspecified or address.is_multicast:
+        raise ValueError(f"{value!r} is no address that others can connect to")
+    return str(address)
+
+
+def check_host_port(value: str) -> str:
+    """Return `address:port` with an IP number and a port from 1 to 65535."""
+    host, colon, port = value.rpartition(":")
+    if not colon or not (port.isascii() and port.isdecimal()):
+        raise ValueError(f"{value!r} is not address:peer_port")
+    if not 1 <= int(port[:6]) <= MAX_PORT:
+        raise ValueError(f"port of {value!r} is not from 1 to {MAX_PORT}")
+    if host.startswith("[") and host.endswith("]"):
+        return f"[{check_ip_address(host[1:-1])}]:{int(port)}"
+    if ":" in host:
+        raise ValueError(f"IPv6 address of {value!r} must stand in brackets")
+    return f"{check_ip_address(host)}:{int(port)}"
+
+
+def check_url(value: str) -> str:
+    """Return an HTTP URL whose host is an IP number, without a final slash."""
+    try:
+        parts = urlsplit(value)
+        host, port = parts.hostname, parts.port
+    except ValueError as exc:
+        raise ValueError(f"{value!r} is not a URL: {exc}") from None
+    if parts.scheme not in ("http", "https") or not host:
+        raise ValueError(f"{value!r} is not an http or https URL")
+    if port == 0:
+        raise ValueError(f"port of {value!r} is 0")
+    check_ip_address(host)
+    return value.rstrip("/")
+
+
+def split_words(value: object) -> object:
+    """Split text at white space and commas."""
+    return tuple(value.replace(",", " ").split()) if isinstance(value, str) else value
+
+
+Name = Annotated[
+    str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=64)
+]
+Port = Annotated[int, Field(ge=0, le=MAX_PORT)]
+IpAddress = Annotated[str, AfterValidator(check_ip_address)]
+HostPort = Annotated[str, AfterValidator(check_host_port)]
+Url = Annotated[str, AfterValidator(check_url)]
+
+_CONFIG = ConfigDict(extra="forbid", allow_inf_nan=False, hide_input_in_errors=True)
+
+
+@dataclass(slots=True, frozen=True, kw_only=True, config=_CONFIG)
+class HostSettings:
+    """Identity and addresses of the process; port 0 lets the kernel choose."""
+
+    name: Name
+    failure_domain: Name
+    region: Name
+    address: IpAddress
+    caller_port: Port = 8080
+    operator_port: Port = 8081
+    peer_port: Port = 8082
+    fleet_key: Annotated[str, Field(min_length=MIN_FLEET_KEY_LENGTH)] = field(
+        repr=False
+    )
+
+    @model_validator(mode="after")
+    def check_ports(self) -> "HostSettings":
+        """Refuse one port for two listeners."""
+        ports = [p for p in (self.caller_port, self.operator_port, self.peer_port) if p]
+        if len(set(ports)) < len(ports):
+            raise ValueError(
+                "caller_port, operator_port and peer_port must differ unless 0"
+            )
+        return self
+
+
+@dataclass(slots=True, frozen=True, kw_only=True, config=_CONFIG)
+class PlatformSettings:
+    """Services of the platform, and hosts to join through."""
+
+    config_url: Url
+    host_list_url: Url
+    seeds: Annotated[tuple[HostPort, ...], BeforeValidator(split_words)] = ()
+
+
+@dataclass(slots=True, frozen=True, kw_only=True, config=_CONFIG)
+class LimitSettings:
+    """Bounds on the memory and time of one process."""
+
+    max_body_bytes: Annotated[int, Field(ge=1_024, le=16_777_216)] = 262_144
+    max_answer_bytes: Annotated[int, Field(ge=1_024, le=67_108_864)] = 1_048_576
+    max_deadline_ms: Annotated[int, Field(ge=1, le=600_000)] = 30_000
+    max_running_queries: Annotated[int, Field(ge=1, le=100_000)] = 2_000
+    max_queued_queries: Annotated[int, Field(ge=0, le=100_000)] = 1_000
+    max_caller_connections: Annotated[int, Field(ge=1, le=100_000)] = 10_000
+
+
+@dataclass(slots=True, frozen=True, kw_only=True, config=_CONFIG)
+class MetricsSettings:
+    """Whether metrics are scraped at the operators' port or pushed."""
+
+    mode: MetricsMode = MetricsMode.SCRAPE
+    push_url: Url | None = None
+    push_interval_s: Annotated[float, Field(ge=1.0, le=3_600.0)] = 15.0
+
+    @model_validator(mode="after")
+    def check_push_url(self) -> "MetricsSettings":
+        """Refuse pushing without a destination."""
+        if self.mode is MetricsMode.PUSH and self.push_url is None:
+            raise ValueError("mode = push needs push_url")
+        return self
+
+
+@dataclass(slots=True, frozen=True, kw_only=True, config=_CONFIG)
+class LogSettings:
+    """Level and stream of the log."""
+
+    level: LogLevel = LogLevel.INFO
+    stream: LogStream = LogStream.STDERR
+
+
+@dataclass(slots=True, frozen=True, kw_only=True, config=_CONFIG)
+class Settings:
+    """All settings of one process, one attribute for each section."""
+
+    host: HostSettings
+    platform: PlatformSettings
+    limits: LimitSettings = field(default_factory=LimitSettings)
+    metrics: MetricsSettings = field(default_factory=MetricsSettings)
+    logs: LogSettings = field(default_factory=LogSettings)
