Add reading, checking, bundling and comparing of object sets

Cause: a half-finished change must never go live, so a set is read, checked and published as a whole, and hosts check again what they receive.

--- a/jackdawsill/objects/__init__.py
+++ b/jackdawsill/objects/__init__.py
@@ -1,5 +1,35 @@
 """Named objects: model, reading, checking, bundling and comparing sets."""
 
+from jackdawsill.objects._bundle import (
+    MANIFEST_KEY,
+    Bundle,
+    Manifest,
+    ManifestEntry,
+    bundle,
+    bundle_set,
+    check_value,
+    load_bundle,
+    read_manifest,
+)
+from jackdawsill.objects._check import CheckedSet, check_set
+from jackdawsill.objects._diff import (
+    Action,
+    CallerChange,
+    KeyChange,
+    ObjectChange,
+    RouteClass,
+    SetDiff,
+    diff,
+)
+from jackdawsill.objects._draft import Place
+from jackdawsill.objects._errors import (
+    BadGeneration,
+    BundleInvalid,
+    BundleTooLarge,
+    ObjectProblem,
+    SetInvalid,
+)
+from jackdawsill.objects._log_events import BUNDLE_INVALID, SET_INVALID
 from jackdawsill.objects._model import (
     Caller,
     Department,
@@ -14,14 +44,40 @@
 )
 
 __all__ = [
+    "BUNDLE_INVALID",
+    "MANIFEST_KEY",
+    "SET_INVALID",
+    "Action",
+    "BadGeneration",
+    "Bundle",
+    "BundleInvalid",
+    "BundleTooLarge",
     "Caller",
+    "CallerChange",
+    "CheckedSet",
     "Department",
     "Group",
+    "KeyChange",
+    "Manifest",
+    "ManifestEntry",
+    "ObjectChange",
+    "ObjectProblem",
     "ObjectSet",
     "Objective",
+    "Place",
     "Replica",
     "Route",
+    "RouteClass",
     "Service",
+    "SetDiff",
+    "SetInvalid",
     "Shard",
     "Snapshot",
+    "bundle",
+    "bundle_set",
+    "check_set",
+    "check_value",
+    "diff",
+    "load_bundle",
+    "read_manifest",
 ]
--- /dev/null
+++ b/jackdawsill/objects/_check.py
@@ -0,0 +1,50 @@
+"""Check a whole set at once."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from jackdawsill.objects import _set_rules, _value_rules
+from jackdawsill.objects._draft import Draft, ObjectId, Place
+from jackdawsill.objects._errors import SetInvalid
+from jackdawsill.objects._kinds import KINDS
+from jackdawsill.objects._model import ObjectSet
+from jackdawsill.objects._read import read_directory
+from jackdawsill.objects._rules import RULES
+from jackdawsill.objects._values import encode_values, overall_digest
+
+# Imported for the rules that they register, in this order.
+RULE_MODULES = (_value_rules, _set_rules)
+
+
+@dataclass(slots=True)
+class CheckedSet:
+    """A valid set of generation 0, and the place of each object in its files."""
+
+    objects: ObjectSet
+    places: dict[ObjectId, Place]
+
+
+def check_draft(draft: Draft, subject: str) -> None:
+    """Apply every rule; raise `SetInvalid` with all errors of the draft."""
+    for check in RULES:
+        check(draft)
+    if draft.problems:
+        raise SetInvalid(subject, draft.problems)
+
+
+def make_set(
+    tables: dict[str, dict[str, Any]], generation: int, digest: str
+) -> ObjectSet:
+    """Return the set that holds the objects of a checked draft."""
+    named = {spec.table: tables[kind] for kind, spec in KINDS.items()}
+    return ObjectSet(generation, digest, **named)
+
+
+def check_set(directory: str | os.PathLike[str]) -> CheckedSet:
+    """Check the `*.ini` files of a directory; raise `SetInvalid` with all errors."""
+    draft = read_directory(Path(directory))
+    check_draft(draft, str(directory))
+    digest = overall_digest(encode_values(draft.tables))
+    return CheckedSet(make_set(draft.tables, 0, digest), draft.places)
--- /dev/null
+++ b/jackdawsill/objects/_diff.py
@@ -0,0 +1,163 @@
+"""Differences between two sets and the callers that they affect."""
+
+from dataclasses import dataclass, fields
+from enum import StrEnum
+from typing import Any
+
+from jackdawsill.objects._kinds import KINDS
+from jackdawsill.objects._model import Caller, ObjectSet
+
+
+class Action(StrEnum):
+    """Name what happened to an object."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+@dataclass(slots=True, frozen=True)
+class KeyChange:
+    """Old and new value of one key."""
+
+    key: str
+    old: Any
+    new: Any
+
+
+@dataclass(slots=True, frozen=True)
+class ObjectChange:
+    """One object that differs; `keys` is empty unless it changed."""
+
+    kind: str
+    name: str
+    action: Action
+    keys: tuple[KeyChange, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class RouteClass:
+    """A document class seen on a route."""
+
+    route: str
+    document_class: str
+
+
+@dataclass(slots=True, frozen=True)
+class CallerChange:
+    """What changes for one caller; `action` is None if its object is unchanged.
+
+    `routes_changed` are routes that it keeps and whose own definition changed.
+    """
+
+    caller: str
+    action: Action | None
+    routes_gained: tuple[str, ...] = ()
+    routes_lost: tuple[str, ...] = ()
+    routes_changed: tuple[str, ...] = ()
+    classes_gained: tuple[RouteClass, ...] = ()
+    classes_lost: tuple[RouteClass, ...] = ()
+    weight_changed: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class SetDiff:
+    """Changed objects by kind and name, and affected callers by name."""
+
+    objects: tuple[ObjectChange, ...]
+    callers: tuple[CallerChange, ...]
+
+
+def _change(kind: str, old: Any, new: Any) -> ObjectChange | None:
+    """Return how one object differs, or None."""
+    if old == new:
+        return None
+    if old is None:
+        return ObjectChange(kind, new.name, Action.ADDED)
+    if new is None:
+        return ObjectChange(kind, old.name, Action.REMOVED)
+    keys = {spec.attribute: key for key, spec in KINDS[kind].keys.items()}
+    changed = (
+        f.name for f in fields(new) if getattr(old, f.name) != getattr(new, f.name)
+    )
+    return ObjectChange(
+        kind,
+        new.name,
+        Action.CHANGED,
+        tuple(KeyChange(keys[n], getattr(old, n), getattr(new, n)) for n in changed),
+    )
+
+
+def _routes(objects: ObjectSet, caller: Caller | None) -> set[str]:
+    """Return the routes that a caller may query."""
+    if caller is None:
+        return set()
+    return {
+        route.name
+        for route in objects.routes.values()
+        if objects.may_query(caller, route)
+    }
+
+
+def _classes(
+    objects: ObjectSet, caller: Caller | None, routes: set[str]
+) -> set[RouteClass]:
+    """Return the classes that a caller sees on its routes."""
+    if caller is None:
+        return set()
+    return {
+        RouteClass(name, entry)
+        for name in routes
+        for entry in objects.visible_classes(caller, objects.routes[name])
+    }
+
+
+def _weight(objects: ObjectSet, caller: Caller) -> float | None:
+    department = objects.departments.get(caller.department)
+    return department.weight if department else None
+
+
+def _caller_change(a: ObjectSet, b: ObjectSet, name: str) -> CallerChange | None:
+    """Return what changes for one caller, or None."""
+    old, new = a.callers.get(name), b.callers.get(name)
+    change = _change("caller", old, new)
+    old_routes, new_routes = _routes(a, old), _routes(b, new)
+    old_classes = _classes(a, old, old_routes)
+    new_classes = _classes(b, new, new_routes)
+    kept = old_routes & new_routes
+    result = CallerChange(
+        name,
+        change.action if change else None,
+        tuple(sorted(new_routes - old_routes)),
+        tuple(sorted(old_routes - new_routes)),
+        tuple(sorted(r for r in kept if _definition(a, r) != _definition(b, r))),
+        _ordered(new_classes - old_classes),
+        _ordered(old_classes - new_classes),
+        bool(old and new and _weight(a, old) != _weight(b, new)),
+    )
+    return None if result == CallerChange(name, None) else result
+
+
+def _definition(objects: ObjectSet, route_name: str) -> tuple[str, bool, int]:
+    """Return what a route does, apart from who may query it and see what."""
+    route = objects.routes[route_name]
+    return route.group, route.repeatable, route.deadline_ms
+
+
+def _ordered(classes: set[RouteClass]) -> tuple[RouteClass, ...]:
+    return tuple(sorted(classes, key=lambda c: (c.route, c.document_class)))
+
+
+def diff(a: ObjectSet, b: ObjectSet) -> SetDiff:
+    """Return the objects that differ from `a` to `b` and the callers affected."""
+    changes = []
+    for kind, spec in KINDS.items():
+        old, new = getattr(a, spec.table), getattr(b, spec.table)
+        for name in sorted(old.keys() | new.keys()):
+            change = _change(kind, old.get(name), new.get(name))
+            if change is not None:
+                changes.append(change)
+    callers = (
+        _caller_change(a, b, name) for name in sorted(a.callers.keys() | b.callers)
+    )
+    return SetDiff(tuple(changes), tuple(c for c in callers if c is not None))
--- /dev/null
+++ b/jackdawsill/objects/_values.py
@@ -0,0 +1,107 @@
+"""Encoding of a set as configuration values named by their content."""
+
+import hashlib
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import xxhash
+
+from jackdawsill.objects._errors import BundleTooLarge
+from jackdawsill.objects._kinds import KINDS
+from jackdawsill.objects._model import (
+    Caller,
+    Department,
+    Group,
+    Objective,
+    Replica,
+    Route,
+    Service,
+    Snapshot,
+)
+
+# The configuration service holds values of up to 1 MB.
+MAX_VALUE_BYTES = 1_000_000
+
+# Objects are cut into values at names whose hash is 0 modulo this number. A change
+# of one object then changes one value, which is all that hosts pull again, while a
+# starting host reads few values: 25 of 1 to 122 KB for 3,180 replicas.
+OBJECTS_PER_VALUE = 256
+
+# A value is also cut here, so that large shard maps never reach the limit.
+SPLIT_VALUE_BYTES = 500_000
+
+VALUE_PREFIX = "value-"
+
+
+@dataclass(slots=True)
+class ValueBody:
+    """Objects of one value by kind."""
+
+    department: list[Department] = field(default_factory=list)
+    caller: list[Caller] = field(default_factory=list)
+    group: list[Group] = field(default_factory=list)
+    service: list[Service] = field(default_factory=list)
+    replica: list[Replica] = field(default_factory=list)
+    snapshot: list[Snapshot] = field(default_factory=list)
+    route: list[Route] = field(default_factory=list)
+    objective: list[Objective] = field(default_factory=list)
+
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(ValueBody)
+
+
+@dataclass(slots=True, frozen=True)
+class Value:
+    """One configuration value; its key is made of its SHA-256."""
+
+    sha256: str
+    data: bytes
+
+    @property
+    def key(self) -> str:
+        """Return the key under which the value is published."""
+        return VALUE_PREFIX + self.sha256
+
+
+def _chunks(tables: dict[str, dict[str, Any]]) -> Iterator[ValueBody]:
+    """Yield bodies whose cuts depend on names and not on positions."""
+    body, n_bytes = ValueBody(), 0
+    for kind in KINDS:
+        for name, item in sorted(tables[kind].items()):
+            size = len(_ENCODER.encode(item))
+            if size > MAX_VALUE_BYTES - SPLIT_VALUE_BYTES:
+                raise BundleTooLarge(f"{kind} {name} takes {size} bytes")
+            getattr(body, kind).append(item)
+            n_bytes += size
+            cut = (
+                xxhash.xxh64_intdigest(f"{kind} {name}".encode()) % OBJECTS_PER_VALUE
+                == 0
+            )
+            if cut or n_bytes > SPLIT_VALUE_BYTES:
+                yield body
+                body, n_bytes = ValueBody(), 0
+    if n_bytes:
+        yield body
+
+
+def encode_values(tables: dict[str, dict[str, Any]]) -> list[Value]:
+    """Return the values of a set, equal for equal objects in any order."""
+    values = []
+    for body in _chunks(tables):
+        data = _ENCODER.encode(body)
+        values.append(Value(hashlib.sha256(data).hexdigest(), data))
+    return values
+
+
+def decode_value(data: bytes) -> ValueBody:
+    """Return the objects of a value; raise `msgspec.DecodeError` if it has none."""
+    return _DECODER.decode(data)
+
+
+def overall_digest(values: Iterable[Any]) -> str:
+    """Return the digest over the `sha256` of all values in order."""
+    joined = "\n".join(value.sha256 for value in values)
+    return hashlib.sha256(joined.encode()).hexdigest()
