Write numbered log events as JSON lines

Cause: programs filter the logs of many hosts, and a log call with bad fields must not end the request that makes it.

--- /dev/null
+++ b/jackdawsill/logs/_fields.py
@@ -0,0 +1,55 @@
+"""Conversion of arbitrary field values to what JSON can hold."""
+
+import math
+from collections.abc import Mapping
+from typing import Any
+
+# Bounds on what bad input can add to one log line.
+MAX_TEXT_CHARS = 2_000
+MAX_ITEMS = 100
+MAX_DEPTH = 4
+
+_MAX_INT = 2**63
+
+
+def safe_text(value: object) -> str:
+    """Return the text of any object, cut to `MAX_TEXT_CHARS`; never raise."""
+    try:
+        if isinstance(value, bytes | bytearray):
+            text = bytes(value[:MAX_TEXT_CHARS]).decode("utf-8", "backslashreplace")
+        else:
+            text = str(value)
+        # `str` of a subclass may return another subclass with methods of its own.
+        text = "".join(text)
+    except Exception:
+        return f"<{type(value).__name__} without text>"
+    if len(text) > MAX_TEXT_CHARS:
+        return text[:MAX_TEXT_CHARS] + "..."
+    return text
+
+
+def safe_value(value: Any, depth: int = 0) -> Any:
+    """Return a value that JSON can hold for any object; never raise."""
+    try:
+        return _convert(value, depth)
+    except Exception:
+        return safe_text(value)
+
+
+def _convert(value: Any, depth: int) -> Any:
+    if value is None or type(value) is bool:
+        return value
+    if type(value) is int and abs(value) < _MAX_INT:
+        return value
+    if type(value) is float and math.isfinite(value):
+        return value
+    if depth < MAX_DEPTH:
+        if isinstance(value, Mapping):
+            pairs = list(value.items())[:MAX_ITEMS]
+            return {safe_text(key): safe_value(item, depth + 1) for key, item in pairs}
+        if isinstance(value, list | tuple):
+            return [safe_value(item, depth + 1) for item in value[:MAX_ITEMS]]
+        if isinstance(value, set | frozenset):
+            texts = sorted(safe_text(item) for item in value)
+            return texts[:MAX_ITEMS]
+    return safe_text(value)
--- /dev/null
+++ b/jackdawsill/logs/_log.py
@@ -0,0 +1,45 @@
+"""Writing of numbered log events."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import logbook
+
+from jackdawsill.logs._fields import safe_text, safe_value
+from jackdawsill.logs._registry import LOG_EVENTS, EventSpec
+
+LOGGER = logbook.Logger("jackdawsill")
+
+
+class _Fields(dict):
+    """Fields of a template; an absent one shows as `?`."""
+
+    def __missing__(self, key: str) -> str:
+        return "?"
+
+
+def format_event(spec: EventSpec, fields: Mapping[str, Any]) -> str:
+    """Return the message of an event; fields that do not fit never raise."""
+    try:
+        return safe_text(spec.template.format_map(_Fields(fields)))
+    except Exception:
+        return spec.template
+
+
+def log_fields(number: int, fields: Mapping[str, Any]) -> None:
+    """Log the event `number`; unknown numbers are logged as errors, never raised."""
+    spec = LOG_EVENTS.get(number) if isinstance(number, int) else None
+    if spec is None:
+        message = "log event {number} is not registered"
+        spec = EventSpec(0, "unregistered", logbook.ERROR, message, "")
+        fields = {"number": safe_text(number), "given": fields}
+    safe = safe_value(fields)
+    if not isinstance(safe, dict):
+        safe = {"given": safe}
+    extra = {"number": spec.number, "name": spec.name, "fields": safe}
+    LOGGER.log(spec.level, format_event(spec, safe), extra=extra)
+
+
+def log_event(number: int, /, **fields: Any) -> None:
+    """Log the registered event `number` with its fields; never raise."""
+    log_fields(number, fields)
