Add jackdawsillctl

Cause: operators check, bundle and compare sets before they publish, and ask running hosts what they do.

Change: commands check, bundle, diff, status, explain and burn on fire. All errors are printed one per line with their code, and any error gives a non-zero status. A bundle is written with its manifest last and only under a rising generation. Answers of hosts are bounded in size and time, and control characters in them do not reach the terminal.

--- a/jackdawsill/cli/__init__.py
+++ b/jackdawsill/cli/__init__.py
@@ -1,1 +1,6 @@
-"""cli."""
+"""Command-line tool `jackdawsillctl` of operators."""
+
+from jackdawsill.cli._commands import COMMANDS
+from jackdawsill.cli._main import main
+
+__all__ = ["COMMANDS", "main"]
--- /dev/null
+++ b/jackdawsill/cli/_commands.py
@@ -0,0 +1,165 @@
+"""Commands of `jackdawsillctl`."""
+
+import asyncio
+import json as json_module
+import re
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from fire.decorators import SetParseFn
+
+from jackdawsill.cli._bundles import read_set, write_bundle
+from jackdawsill.cli._client import DEFAULT_TIMEOUT_S, ask_hosts, check_host
+from jackdawsill.cli._errors import BadArgument, CommandFailed
+from jackdawsill.cli._render import render, render_diff
+from jackdawsill.exceptions import JackdawsillError
+from jackdawsill.objects import SetInvalid, bundle_set, check_set, diff
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
+_MAX_TIMEOUT_S = 3_600.0
+
+
+def _flag(text: str) -> bool:
+    if text not in ("True", "False"):
+        raise BadArgument(f"{text!r} is no value of a flag")
+    return text == "True"
+
+
+def _timeout(text: str) -> float:
+    try:
+        timeout_s = float(text)
+    except ValueError:
+        timeout_s = 0.0
+    if not 0 < timeout_s <= _MAX_TIMEOUT_S:
+        message = f"timeout_s must be above 0 to {_MAX_TIMEOUT_S:g}, not {text!r}"
+        raise BadArgument(message)
+    return timeout_s
+
+
+def _generation(text: str) -> int:
+    if not re.fullmatch(r"[0-9]{1,18}", text):
+        raise BadArgument(f"generation must be a positive integer, not {text!r}")
+    return int(text)
+
+
+def _command(function: Callable[..., None]) -> Callable[..., None]:
+    """Keep fire from reading names such as `007` as Python values."""
+    SetParseFn(str)(function)
+    SetParseFn(_flag, "json")(function)
+    SetParseFn(_timeout, "timeout_s")(function)
+    SetParseFn(_generation, "generation")(function)
+    return function
+
+
+def _print_json(value: Any) -> None:
+    print(json_module.dumps(value, indent=2))
+
+
+@_command
+def check(directory: str) -> None:
+    """Check the object files of a directory and print every error."""
+    checked = check_set(directory)
+    counts: dict[str, int] = {}
+    for kind, _ in checked.places:
+        counts[kind] = counts.get(kind, 0) + 1
+    summary = ", ".join(f"{n} {kind}" for kind, n in sorted(counts.items()))
+    print(f"valid: {summary}; digest {checked.objects.digest}")
+
+
+@_command
+def bundle(directory: str, generation: int, out: str) -> None:
+    """Check a directory and write its bundle; publish the file `manifest` last."""
+    made = bundle_set(check_set(directory).objects, generation)
+    write_bundle(made, Path(out))
+    print(f"generation {made.generation}, digest {made.digest}")
+    for key, data in made.items():
+        print(f"{key} {len(data)} bytes")
+
+
+@_command
+def diff_sets(a: str, b: str, json: bool = False) -> None:
+    """Print the objects that differ from A to B and the callers affected.
+
+    A and B are directories of object files or of written bundles.
+    """
+    sets, errors = [], []
+    for directory in (a, b):
+        try:
+            sets.append(read_set(Path(directory)))
+        except SetInvalid as exc:
+            errors.extend(exc.problems)
+        except JackdawsillError as exc:
+            errors.append(exc)
+    if errors:
+        raise CommandFailed(errors)
+    found = diff(*sets)
+    if json:
+        _print_json(msgspec.to_builtins(found))
+        return
+    for line in render_diff(found):
+        print(line)
+
+
+def _ask(hosts: tuple[str, ...], path: str, json: bool, timeout_s: float) -> None:
+    """Print what the hosts answer; raise `CommandFailed` if any did not."""
+    if not hosts:
+        raise BadArgument("name at least one host as address:operator_port")
+    checked = list(dict.fromkeys(check_host(host) for host in hosts))
+    answers = asyncio.run(ask_hosts(checked, path, timeout_s))
+    good = [answer for answer in answers if answer.error is None]
+    failed = [answer for answer in answers if answer.error is not None]
+    if json:
+        _print_json(
+            {
+                "answers": {answer.host: answer.answer for answer in good},
+                "errors": {answer.host: str(answer.error) for answer in failed},
+            }
+        )
+    else:
+        for answer in good:
+            print(f"host {answer.host}")
+            for line in render(answer.answer):
+                print(f"  {line}")
+    if failed:
+        raise CommandFailed([answer.error for answer in failed])
+
+
+@_command
+def status(
+    *hosts: str, json: bool = False, timeout_s: float = DEFAULT_TIMEOUT_S
+) -> None:
+    """Print the status of hosts, each given as address:operator_port."""
+    _ask(hosts, "/status", json, timeout_s)
+
+
+@_command
+def explain(
+    kind: str,
+    name: str,
+    *hosts: str,
+    json: bool = False,
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+) -> None:
+    """Print how hosts treat one object, for example `explain route NAME HOST`."""
+    for text in (kind, name):
+        if not _NAME.fullmatch(text):
+            raise BadArgument(f"{text!r} is not a kind or name")
+    _ask(hosts, f"/explain/{kind}/{name}", json, timeout_s)
+
+
+@_command
+def burn(*hosts: str, json: bool = False, timeout_s: float = DEFAULT_TIMEOUT_S) -> None:
+    """Print how fast hosts use up the error budgets of the objectives."""
+    _ask(hosts, "/burn", json, timeout_s)
+
+
+COMMANDS: dict[str, Callable[..., None]] = {
+    "check": check,
+    "bundle": bundle,
+    "diff": diff_sets,
+    "status": status,
+    "explain": explain,
+    "burn": burn,
+}
--- /dev/null
+++ b/jackdawsill/cli/_main.py
@@ -0,0 +1,55 @@
+"""Entry point of `jackdawsillctl`."""
+
+import os
+import sys
+from collections.abc import Iterable
+
+import fire
+from fire.core import FireExit
+
+from jackdawsill.cli._commands import COMMANDS
+from jackdawsill.cli._errors import CommandFailed, InternalFailure
+from jackdawsill.cli._render import printable
+from jackdawsill.exceptions import JackdawsillError
+from jackdawsill.ini import IniError, IniErrors
+
+EXIT_ERROR = 1
+EXIT_INTERRUPTED = 130
+
+
+def _report(errors: Iterable[JackdawsillError]) -> int:
+    """Print errors one per line; return the exit status."""
+    for error in errors:
+        text = str(error)
+        if not isinstance(error, IniError):
+            text = f"{error.code_text} {error.message}"
+        print(printable(text), file=sys.stderr)
+    return EXIT_ERROR
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command; return 0, or another status after printing the errors."""
+    command = sys.argv[1:] if argv is None else argv
+    # Fire would read the host after a bare `--json` as the value of the flag.
+    command = ["--json=True" if word == "--json" else word for word in command]
+    try:
+        fire.Fire(COMMANDS, command=command, name="jackdawsillctl")
+        sys.stdout.flush()
+    except FireExit as exc:
+        return exc.code
+    except IniErrors as exc:
+        return _report(exc.problems)
+    except CommandFailed as exc:
+        return _report(exc.errors)
+    except JackdawsillError as exc:
+        return _report([exc])
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+    except BrokenPipeError:
+        # The reader of a pipe ended; the interpreter flushes stdout once more.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_ERROR
+    except Exception as exc:
+        # Operators see a code and a message, never a traceback.
+        return _report([InternalFailure(f"{type(exc).__name__}: {exc}")])
+    return 0
--- /dev/null
+++ b/jackdawsill/cli/_render.py
@@ -0,0 +1,106 @@
+"""Readable text for answers and differences."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from jackdawsill.objects import Action, CallerChange, SetDiff
+
+INDENT = "  "
+
+
+def printable(value: Any) -> str:
+    """Return a scalar as text whose control characters cannot reach a terminal."""
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = str(value)
+    if text.isprintable():
+        return text
+    return "".join(c if c.isprintable() else ascii(c)[1:-1] for c in text)
+
+
+def _is_flat(value: Any) -> bool:
+    return not isinstance(value, dict | list)
+
+
+def _table(rows: list[dict[str, Any]]) -> Iterator[str]:
+    """Yield aligned lines for objects that hold scalars only."""
+    columns = list(dict.fromkeys(key for row in rows for key in row))
+    cells = [[printable(column) for column in columns]]
+    cells += [[printable(row.get(column)) for column in columns] for row in rows]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    for row in cells:
+        padded = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        yield INDENT.join(padded).rstrip()
+
+
+def render(value: Any) -> Iterator[str]:
+    """Yield readable lines for a decoded JSON value."""
+    if isinstance(value, dict):
+        for key, item in value.items():
+            if _is_flat(item):
+                yield f"{printable(key)}: {printable(item)}"
+            elif not item:
+                yield f"{printable(key)}: none"
+            else:
+                yield f"{printable(key)}:"
+                yield from (INDENT + line for line in render(item))
+    elif isinstance(value, list):
+        if value and all(
+            isinstance(row, dict) and row and all(map(_is_flat, row.values()))
+            for row in value
+        ):
+            yield from _table(value)
+            return
+        for item in value:
+            first, *rest = list(render(item)) or ["none"]
+            yield f"- {first}"
+            yield from (INDENT + line for line in rest)
+    else:
+        yield printable(value)
+
+
+def _value(value: Any) -> str:
+    if isinstance(value, tuple):
+        pairs = (
+            entry if isinstance(entry, str) else f"{entry.name}:{entry.service}"
+            for entry in value
+        )
+        return " ".join(pairs) or "none"
+    return printable(value)
+
+
+def _effects(change: CallerChange) -> Iterator[str]:
+    """Yield what changes for one caller, losses first."""
+    if change.action is not None:
+        yield f"caller is {change.action}"
+    for route in change.routes_lost:
+        yield f"loses route {route}"
+    for lost in change.classes_lost:
+        yield f"loses class {lost.document_class} on route {lost.route}"
+    for route in change.routes_gained:
+        yield f"gains route {route}"
+    for gained in change.classes_gained:
+        yield f"gains class {gained.document_class} on route {gained.route}"
+    for route in change.routes_changed:
+        yield f"route {route} is changed"
+    if change.weight_changed:
+        yield "weight of the department is changed"
+
+
+def render_diff(found: SetDiff) -> Iterator[str]:
+    """Yield readable lines for the difference between two sets."""
+    yield f"objects that differ: {len(found.objects)}"
+    for change in found.objects:
+        yield f"{INDENT}{change.action} [{change.kind} {change.name}]"
+        if change.action is Action.CHANGED:
+            for key in change.keys:
+                line = f"{key.key}: {_value(key.old)} -> {_value(key.new)}"
+                yield INDENT * 2 + line
+    yield f"callers affected: {len(found.callers)}"
+    for caller in found.callers:
+        yield f"{INDENT}{caller.caller}"
+        yield from (INDENT * 2 + effect for effect in _effects(caller))
--- /dev/null
+++ b/jackdawsill/cli/tests/test_commands.py
@@ -0,0 +1,186 @@
+"""Tests of the command-line tool."""
+
+import asyncio
+import contextlib
+import io
+import json
+import shutil
+import socket
+import tempfile
+import unittest
+from pathlib import Path
+
+from aiohttp import web
+
+from jackdawsill.cli import main
+
+ROOT = Path(__file__).parents[3]
+ENVASES = str(ROOT / "examples" / "envases")
+
+
+def run(*argv):
+    """Run the tool; return its status, output and error lines."""
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        status = main(list(argv))
+    return status, out.getvalue(), err.getvalue()
+
+
+class TestFiles(unittest.TestCase):
+    """Guards what operators run before they publish."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name)
+        self.set = self.path / "007"
+        shutil.copytree(ENVASES, self.set)
+        self.out = str(self.path / "out")
+
+    def edit(self, name, old, new):
+        path = self.set / name
+        path.write_text(path.read_text().replace(old, new, 1))
+
+    def test_check_prints_every_error_on_a_line(self):
+        """Guards against hidden errors, tracebacks and a status of 0."""
+        self.assertEqual(run("check", str(self.set))[0], 0)
+        self.edit("routes.ini", "group = archivo", "group = archvo")
+        self.edit("archivo.ini", "slots = 2", "slots = many")
+        status, _, err = run("check", str(self.set))
+        self.assertEqual(status, 1)
+        first, second = err.splitlines()
+        self.assertEqual(
+            first,
+            f"{self.set}/archivo.ini:4: [group archivo] JDS-1108 slots: 'many' is not "
+            "an integer",
+        )
+        self.assertIn(
+            "/routes.ini:4: [route dieline-search] JDS-1110 group names", second
+        )
+
+    def test_bundle_is_written_and_compared(self):
+        """Guards against a bundle that does not hold the set it was made of."""
+        status, out, err = run(
+            "bundle", str(self.set), "--generation", "3", "--out", self.out
+        )
+        self.assertEqual((status, err), (0, ""))
+        self.assertTrue(out.splitlines()[-1].startswith("manifest "))
+        self.assertIn("objects that differ: 0", run("diff", self.out, ENVASES)[1])
+        self.edit("callers.ini", "classes = dieline ", "classes = ")
+        out = run("diff", self.out, str(self.set))[1]
+        self.assertIn("loses class dieline on route dieline-search", out)
+        found = json.loads(run("diff", self.out, str(self.set), "--json")[1])
+        self.assertEqual(found["callers"][0]["caller"], "studio-bogota")
+
+    def test_generation_must_rise(self):
+        """Guards against a published set that hosts ignore as old."""
+        make = ("bundle", str(self.set), "--out", self.out, "--generation")
+        self.assertEqual(run(*make, "3")[0], 0)
+        self.assertEqual(run(*make, "3")[0], 0)
+        self.edit("callers.ini", "extra_load = 0.05", "extra_load = 0.06")
+        for generation in ("3", "2"):
+            self.assertIn("JDS-5205", run(*make, generation)[2])
+        self.assertEqual(run(*make, "4")[0], 0)
+        self.assertIn("JDS-1152", run(*make, "0")[2])
+        self.assertIn("JDS-5201", run(*make, "x")[2])
+
+    def test_damaged_bundle_is_refused(self):
+        """Guards against comparing with a bundle that hosts would refuse."""
+        run("bundle", str(self.set), "--generation", "3", "--out", self.out)
+        value = next(Path(self.out).glob("value-*"))
+        value.write_bytes(value.read_bytes()[:-1])
+        status, _, err = run("diff", self.out, str(self.path / "none"))
+        self.assertEqual(status, 1)
+        self.assertIn("JDS-1150", err)
+        self.assertIn("JDS-1101", err)
+
+    def test_unwritable_output_is_a_typed_error(self):
+        """Guards against a traceback for a path that is a file."""
+        Path(self.out).write_text("")
+        status, _, err = run(
+            "bundle", str(self.set), "--generation=1", f"--out={self.out}"
+        )
+        self.assertEqual((status, err[:8]), (1, "JDS-5204"))
+
+    def test_misuse_has_a_status(self):
+        """Guards against scripts that take a mistyped command for success."""
+        for argv in (("nosuch",), ("check",), ("check", ENVASES, "x")):
+            status, _, err = run(*argv)
+            self.assertEqual(status, 2)
+            self.assertNotIn("Traceback", err)
+
+
+class TestHosts(unittest.IsolatedAsyncioTestCase):
+    """Guards the questions to operators' ports."""
+
+    async def asyncSetUp(self):
+        async def status(request):
+            members = [{"name": "h1", "live": True}, {"name": "h\x1b2", "live": None}]
+            return web.json_response({"generation": 7, "members": members, "x": []})
+
+        async def explain(request):
+            error = {"code": "JDS-2003", "message": "no such route"}
+            return web.json_response({"error": error}, status=404)
+
+        async def burn(request):
+            return web.Response(text="{")
+
+        app = web.Application()
+        app.router.add_get("/status", status)
+        app.router.add_get("/explain/{kind}/{name}", explain)
+        app.router.add_get("/burn", burn)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        self.host = f"127.0.0.1:{runner.addresses[0][1]}"
+        # A bound socket that does not listen refuses connections.
+        closed = socket.socket()
+        self.addCleanup(closed.close)
+        closed.bind(("127.0.0.1", 0))
+        self.closed = f"127.0.0.1:{closed.getsockname()[1]}"
+
+    async def ask(self, *argv):
+        return await asyncio.to_thread(run, *argv)
+
+    async def test_answers_are_readable(self):
+        """Guards against control characters of an answer reaching a terminal."""
+        status, out, _ = await self.ask("status", self.host)
+        self.assertEqual(status, 0)
+        self.assertEqual(
+            [line.split() for line in out.splitlines()],
+            [["host", self.host], ["generation:", "7"], ["members:"]]
+            + [["name", "live"], ["h1", "yes"], ["h\\x1b2", "-"], ["x:", "none"]],
+        )
+
+    async def test_unreachable_host_fails_the_command(self):
+        """Guards against a status of 0 when one of several hosts is down."""
+        status, out, err = await self.ask("status", "--json", self.closed, self.host)
+        self.assertEqual(status, 1)
+        found = json.loads(out)
+        self.assertEqual(found["answers"][self.host]["generation"], 7)
+        self.assertIn("JDS-5202", found["errors"][self.closed])
+        self.assertTrue(err.startswith(f"JDS-5202 {self.closed}: "))
+
+    async def test_bad_answers_are_typed_errors(self):
+        """Guards against tracebacks for refusals and broken JSON."""
+        status, _, err = await self.ask("explain", "route", "x", self.host)
+        self.assertEqual(status, 1)
+        self.assertEqual(
+            err, f"JDS-5203 {self.host}: status 404: JDS-2003 no such route\n"
+        )
+        self.assertIn("JDS-5203", (await self.ask("burn", self.host))[2])
+
+    async def test_bad_arguments_are_typed_errors(self):
+        """Guards against names that need a resolver and paths built of input."""
+        for argv in (
+            ("status",),
+            ("status", "localhost"),
+            ("status", "127.0.0.1:0"),
+            ("status", "::1:80"),
+            ("status", self.host, "--timeout_s", "0"),
+            ("explain", "route", "../status", self.host),
+        ):
+            status, _, err = await self.ask(*argv)
+            self.assertEqual((status, err[:8]), (1, "JDS-5201"), argv)
--- a/jackdawsill/ini.py
+++ b/jackdawsill/ini.py
@@ -168,7 +168,8 @@
         self.section = section
 
     def __str__(self) -> str:
-        return f"{self.file}:{self.line}: [{self.section}] {super().__str__()}"
+        place = f"{self.file}:{self.line}: [{self.section}]"
+        return f"{place} {self.code_text} {self.message}"
 
 
 class IniErrors(JackdawsillError):
