Bound the hints of a check and keep errors on one line

Cause: a trial with 8,000 random changes of sets and bundles found errors split by line breaks in values; a missing file can leave thousands of names to compare with thousands of others.

Change: errors escape control characters; a check gives at most 20 hints, and none while a host loads a bundle.

--- a/jackdawsill/cli/_main.py
+++ b/jackdawsill/cli/_main.py
@@ -9,9 +9,8 @@
 
 from jackdawsill.cli._commands import COMMANDS
 from jackdawsill.cli._errors import CommandFailed, InternalFailure
-from jackdawsill.cli._render import printable
 from jackdawsill.exceptions import JackdawsillError
-from jackdawsill.ini import IniError, IniErrors
+from jackdawsill.ini import IniError, IniErrors, one_line
 
 EXIT_ERROR = 1
 EXIT_INTERRUPTED = 130
@@ -23,7 +22,7 @@
         text = str(error)
         if not isinstance(error, IniError):
             text = f"{error.code_text} {error.message}"
-        print(printable(text), file=sys.stderr)
+        print(one_line(text), file=sys.stderr)
     return EXIT_ERROR
 
 
--- a/jackdawsill/cli/_render.py
+++ b/jackdawsill/cli/_render.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+from jackdawsill.ini import one_line
 from jackdawsill.objects import Action, CallerChange, SetDiff
 
 INDENT = "  "
@@ -16,10 +17,7 @@
         return "yes" if value else "no"
     if isinstance(value, float):
         return f"{value:.6g}"
-    text = str(value)
-    if text.isprintable():
-        return text
-    return "".join(c if c.isprintable() else ascii(c)[1:-1] for c in text)
+    return one_line(str(value))
 
 
 def _is_flat(value: Any) -> bool:
--- a/jackdawsill/ini.py
+++ b/jackdawsill/ini.py
@@ -9,6 +9,9 @@
 
 from jackdawsill.exceptions import JackdawsillError
 
+# Longer names are no misspelt names, and comparing them is slow.
+MAX_SUGGEST_CHARS = 100
+
 _HEADER = re.compile(r"^\[([^\[\]]+)\]\s*(?:[#;].*)?$")
 _NEWLINE = re.compile(r"\r\n|\n|\r")
 
@@ -149,8 +152,17 @@
     return parse_ini(text, path)
 
 
+def one_line(text: str) -> str:
+    """Return text whose control characters and line breaks are escaped."""
+    if text.isprintable():
+        return text
+    return "".join(c if c.isprintable() else ascii(c)[1:-1] for c in text)
+
+
 def suggest(name: str, known: Iterable[str]) -> str:
     """Return `; did you mean X?` for the nearest known name, or nothing."""
+    if len(name) > MAX_SUGGEST_CHARS:
+        return ""
     lowered = {entry.lower(): entry for entry in known}
     nearest = difflib.get_close_matches(name.lower(), lowered, n=1, cutoff=0.6)
     return f"; did you mean {lowered[nearest[0]]!r}?" if nearest else ""
@@ -162,10 +174,10 @@
     def __init__(
         self, message: str, *, file: str = "", line: int = 0, section: str = ""
     ) -> None:
-        super().__init__(message)
+        super().__init__(one_line(message))
         self.file = file
         self.line = line
-        self.section = section
+        self.section = one_line(section)
 
     def __str__(self) -> str:
         place = f"{self.file}:{self.line}: [{self.section}]"
--- a/jackdawsill/objects/_bundle.py
+++ b/jackdawsill/objects/_bundle.py
@@ -151,7 +151,8 @@
     Raises `BundleInvalid` for damage and `SetInvalid` for a set that breaks a rule.
     """
     manifest = read_manifest(manifest_bytes)
-    draft = Draft()
+    # Hosts load bundles between requests, so no time is spent on hints.
+    draft = Draft(suggestions_left=0)
     for entry in manifest.values:
         data = check_value(entry, values.get(entry.key))
         try:
--- a/jackdawsill/objects/_draft.py
+++ b/jackdawsill/objects/_draft.py
@@ -4,9 +4,14 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from jackdawsill.ini import suggest
 from jackdawsill.objects._errors import ObjectProblem
 from jackdawsill.objects._kinds import KINDS
 
+# Each suggestion compares a name with up to thousands of others, and a missing file
+# can leave thousands of references dangling.
+MAX_SUGGESTIONS = 20
+
 ObjectId = tuple[str, str]  # kind, name
 
 
@@ -32,6 +37,15 @@
     bad_keys: set[tuple[str, str, str]] = field(default_factory=set)
     problems: list[ObjectProblem] = field(default_factory=list)
 
+    suggestions_left: int = MAX_SUGGESTIONS
+
+    def suggest(self, name: str, known: Iterable[str]) -> str:
+        """Return a hint at the nearest known name while the budget lasts."""
+        if self.suggestions_left <= 0:
+            return ""
+        self.suggestions_left -= 1
+        return suggest(name, known)
+
     def objects(self, kind: str) -> Iterable[Any]:
         """Return the objects of a kind."""
         return self.tables[kind].values()
--- a/jackdawsill/objects/_read.py
+++ b/jackdawsill/objects/_read.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import Any
 
-from jackdawsill.ini import IniFile, IniSection, read_ini, suggest
+from jackdawsill.ini import IniFile, IniSection, read_ini
 from jackdawsill.objects._draft import Draft, Place
 from jackdawsill.objects._errors import (
     BadHeader,
@@ -39,7 +39,7 @@
     for key, entry in section.entries.items():
         key_spec = spec.keys.get(key)
         if key_spec is None:
-            message = f"unknown key {key!r}{suggest(key, spec.keys)}"
+            message = f"unknown key {key!r}{draft.suggest(key, spec.keys)}"
             draft.add(UnknownKey, message, spec.kind, name, key)
             continue
         try:
@@ -67,7 +67,7 @@
     words = section.header.split()
     spec = KINDS.get(words[0]) if words else None
     if spec is None:
-        nearest = suggest(words[0], KINDS) if words else ""
+        nearest = draft.suggest(words[0], KINDS) if words else ""
         report(UnknownKind, f"unknown kind{nearest}")
         return
     if len(words) != 2 or not NAME.fullmatch(words[1]):
--- a/jackdawsill/objects/_set_rules.py
+++ b/jackdawsill/objects/_set_rules.py
@@ -3,7 +3,6 @@
 import ipaddress
 from collections import defaultdict
 
-from jackdawsill.ini import suggest
 from jackdawsill.objects._draft import Draft
 from jackdawsill.objects._errors import (
     DanglingReference,
@@ -42,7 +41,7 @@
     table = draft.tables[target_kind]
     if target not in table:
         message = f"{key} names {target_kind} {target!r}, which is not in the set"
-        message += suggest(target, table)
+        message += draft.suggest(target, table)
         draft.add(DanglingReference, message, kind, name, key)
 
 
@@ -229,7 +228,9 @@
     for caller in draft.objects("caller"):
         for entry in caller.classes:
             if entry not in served:
-                message = f"no route serves class {entry!r}{suggest(entry, served)}"
+                message = (
+                    f"no route serves class {entry!r}{draft.suggest(entry, served)}"
+                )
                 draft.add(UnservedClass, message, "caller", caller.name, "classes")
 
 
--- a/jackdawsill/objects/tests/test_check.py
+++ b/jackdawsill/objects/tests/test_check.py
@@ -6,6 +6,7 @@
 
 from jackdawsill.core import Policy
 from jackdawsill.objects import SetInvalid, Shard, check_set
+from jackdawsill.objects._draft import MAX_SUGGESTIONS
 from jackdawsill.objects.tests.sets import SetTestCase
 
 ROOT = Path(__file__).parents[3]
@@ -140,6 +141,19 @@
         extra = OTHER_GROUP + "[replica" + same.replace("o1-x", "o1-y")
         self.assertEqual([p.code for p in self.problems(extra=extra)], [1113])
 
+    def test_hints_are_bounded(self):
+        """Guards against a check that compares thousands of names for minutes."""
+        services = "".join(f"[service b{n}]\ngroup = archve\n" for n in range(60))
+        problems = self.problems(extra=services)
+        hints = [p for p in problems if "did you mean" in p.message]
+        self.assertEqual(len(hints), MAX_SUGGESTIONS)
+        self.assertEqual(len(problems), 120)
+
+    def test_an_error_is_one_line(self):
+        """Guards against values with line breaks that split an error."""
+        problems = self.problems(("service = a2", "service = a2\n  a1"))
+        self.assertNotIn("\n", str(problems[0]) + str(problems[1]))
+
     def test_unreadable_input_is_a_typed_error(self):
         """Guards against tracebacks for bad files and empty sets."""
         with tempfile.TemporaryDirectory() as folder:
