Add the world, faults and invariant checks of the fault matrix

Cause: every invariant needs a proof under every fault at every step. Change: virtual-time world with small fakes, registries of faults, steps and invariant checks; cells are generated from the registries.

--- /dev/null
+++ b/jackdawsill/matrix/_backends.py
@@ -0,0 +1,212 @@
+"""Network between hosts and fake backend servers in virtual time."""
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from jackdawsill.core import FailureKind, SendSub, SubAnswered, SubFailed
+from jackdawsill.matrix._fakes import FakeBackend
+from jackdawsill.matrix._journal import Run, SubSent
+
+if TYPE_CHECKING:
+    from jackdawsill.matrix._world import FakeHost, World
+
+BACKEND_LATENCY_S = 0.001
+CRASH_RESTART_S = 2.0
+N_ITEMS_PER_SHARD = 2
+
+
+@dataclass(slots=True)
+class SubInFlight:
+    """A sub-request on its way; `settled` once the host was told an outcome."""
+
+    host: "FakeHost"
+    sub: SendSub
+    settled: bool = False
+    cancelled: bool = False
+    running: bool = False
+
+
+class BackendNetwork:
+    """Carry sub-requests to fake backend servers and outcomes back."""
+
+    def __init__(self, backends: dict[str, FakeBackend]) -> None:
+        self.backends = backends
+        self.in_flight: dict[tuple[str, int, int], SubInFlight] = {}
+        self.sent: set[tuple[str, str]] = set()
+        self.duplicate_answers = False
+        self.foreign_answers = False
+        self.world: World | None = None
+
+    def attach(self, world: "World") -> None:
+        """Bind to the world that gives the time."""
+        self.world = world
+
+    def send(self, host: "FakeHost", sub: SendSub) -> None:
+        """Send a sub-request; a timeout settles it if nothing else does."""
+        world = self.world
+        assert world is not None
+        call = SubInFlight(host, sub)
+        self.in_flight[(host.name, host.epoch, sub.sub_id)] = call
+        world.fire("connect" if sub.repeatable else "spend", host, sub)
+        key = (sub.request_id, sub.shard)
+        if key in self.sent and sub.repeatable:
+            world.fire("hedge", host, sub)
+        self.sent.add(key)
+        world.after(BACKEND_LATENCY_S, lambda: self._arrive(call))
+        world.after(sub.timeout_s, lambda: self._fail(call, FailureKind.TIMEOUT, 0.0))
+
+    def cancel(self, host: "FakeHost", sub_id: int) -> None:
+        """Cancel a sub-request by message."""
+        call = self.in_flight.get((host.name, host.epoch, sub_id))
+        if call is None or call.settled:
+            return
+        call.cancelled = True
+        self._fail(call, FailureKind.CANCELLED, 2 * BACKEND_LATENCY_S)
+
+    def crash(self, backend: FakeBackend, restart_s: float | None) -> None:
+        """End a backend server without notice; requests on it are lost."""
+        world = self.world
+        assert world is not None
+        backend.alive = False
+        backend.n_running = 0
+        for call in list(self.in_flight.values()):
+            if call.running and call.sub.replica == backend.replica.name:
+                call.running = False
+                self._fail(call, FailureKind.CRASH, BACKEND_LATENCY_S)
+        if restart_s is not None:
+            world.after(restart_s, lambda: self._restart(backend))
+
+    def _restart(self, backend: FakeBackend) -> None:
+        backend.alive = True
+
+    def _arrive(self, call: SubInFlight) -> None:
+        world = self.world
+        assert world is not None
+        sub = call.sub
+        backend = self.backends[sub.replica]
+        world.fire("send", call.host, sub)
+        world.journal.subs.append(SubSent(world.now, call.host.name, sub.replica))
+        if backend.cut_off or call.cancelled:
+            return
+        refusal = backend.refusal(sub.snapshot)
+        if refusal is not None:
+            servable = tuple(
+                s for s in ("archivo-1", "archivo-2") if s not in backend.unservable
+            )
+            self._fail(call, refusal, BACKEND_LATENCY_S, servable)
+            return
+        world.journal.runs.append(
+            Run(
+                world.now,
+                call.host.name,
+                sub.replica,
+                sub.shard,
+                sub.snapshot,
+                sub.body,
+                sub.repeatable,
+            )
+        )
+        call.running = True
+        backend.n_running += 1
+        if sub.body in backend.poison:
+            self.crash(backend, CRASH_RESTART_S)
+            return
+        world.fire("wait" if sub.repeatable else "run", call.host, sub)
+        queue_s = backend.latency_s * max(0, backend.n_running - backend.n_slots)
+        jitter = 1.0 + world.rng.random()
+        world.after(
+            backend.latency_s * jitter + queue_s, lambda: self._finish(call, backend)
+        )
+
+    def _finish(self, call: SubInFlight, backend: FakeBackend) -> None:
+        world = self.world
+        assert world is not None
+        if not call.running:
+            return
+        call.running = False
+        backend.n_running = max(0, backend.n_running - 1)
+        if call.settled and not self.duplicate_answers:
+            self._forget(call)
+            return
+        if backend.corrupt:
+            self._fail(call, FailureKind.BAD_ANSWER, BACKEND_LATENCY_S)
+            return
+        world.after(BACKEND_LATENCY_S, lambda: self._answer(call, backend))
+
+    def _answer(self, call: SubInFlight, backend: FakeBackend) -> None:
+        world = self.world
+        assert world is not None
+        if backend.cut_off:
+            return
+        sub = call.sub
+        late = call.settled
+        if late and not self.duplicate_answers:
+            return
+        self._settle(call)
+        world.fire("merge" if sub.repeatable else "record", call.host, sub)
+        answer = SubAnswered(
+            sub_id=sub.sub_id,
+            request_id=sub.request_id,
+            snapshot=sub.snapshot,
+            shard=sub.shard,
+            items=self._items(sub),
+            load=backend.load(),
+            draining=backend.draining,
+        )
+        if self.foreign_answers:
+            # An answer to another request on the same connection must not count.
+            foreign = SubAnswered(
+                sub_id=sub.sub_id,
+                request_id=sub.request_id + "-other",
+                snapshot=sub.snapshot,
+                shard=sub.shard,
+                items=[{"class": "approved-proof", "body": "another caller's"}],
+            )
+            world.feed(call.host, foreign)
+        if backend.draining:
+            world.journal.leaving_since.setdefault(sub.replica, world.now)
+        world.feed(call.host, answer)
+        if self.duplicate_answers:
+            world.after(0.010, lambda: world.feed(call.host, answer))
+
+    def _items(self, sub: SendSub) -> list[dict[str, Any]]:
+        return [
+            {
+                "class": "approved-proof" if n else "draft",
+                "shard": sub.shard,
+                "snapshot": sub.snapshot,
+                "body": sub.body.decode(),
+                "n": n,
+            }
+            for n in range(N_ITEMS_PER_SHARD)
+        ]
+
+    def _settle(self, call: SubInFlight) -> None:
+        call.settled = True
+        if not call.running:
+            self._forget(call)
+
+    def _forget(self, call: SubInFlight) -> None:
+        key = (call.host.name, call.host.epoch, call.sub.sub_id)
+        self.in_flight.pop(key, None)
+
+    def _fail(
+        self,
+        call: SubInFlight,
+        kind: FailureKind,
+        delay_s: float,
+        servable: tuple[str, ...] = (),
+    ) -> None:
+        world = self.world
+        assert world is not None
+        if call.settled:
+            return
+        self._settle(call)
+        event = SubFailed(call.sub.sub_id, kind, servable, "")
+
+        def tell() -> None:
+            if kind is FailureKind.DRAINING:
+                world.journal.leaving_since.setdefault(call.sub.replica, world.now)
+            world.feed(call.host, event)
+
+        world.after(delay_s, tell)
--- /dev/null
+++ b/jackdawsill/matrix/_cells.py
@@ -0,0 +1,233 @@
+"""The fault matrix: faults x steps, run one cell at a time."""
+
+import itertools
+import zlib
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from jackdawsill.core import SendSub
+from jackdawsill.matrix._faults import FAULTS, FaultContext
+from jackdawsill.matrix._invariants import check_all
+from jackdawsill.matrix._scenario import Scenario
+from jackdawsill.matrix._world import FakeHost, World
+
+BuildHost = Callable[[World, FakeHost], Any]
+BACKGROUND_S = 9.0
+BACKGROUND_PERIOD_S = 0.45
+
+
+@dataclass(slots=True, frozen=True)
+class Step:
+    """Point of a script: the n-th time that a hook of the world fires."""
+
+    script: str
+    name: str
+    hook: str
+    occurrence: int = 1
+
+
+STEPS = (
+    Step("query", "admit", "admit"),
+    Step("query", "bind", "bind"),
+    Step("query", "pick", "connect"),
+    Step("query", "connect", "connect", 3),
+    Step("query", "send", "send", 2),
+    Step("query", "wait", "wait", 2),
+    Step("query", "hedge", "hedge"),
+    Step("query", "merge", "merge", 2),
+    Step("query", "deliver", "reply"),
+    Step("configuration", "publish", "publish"),
+    Step("configuration", "read", "read"),
+    Step("configuration", "notice", "GenerationNotice"),
+    Step("configuration", "pull", "ValueRequest"),
+    Step("configuration", "accept", "accept"),
+    Step("ticket", "issue", "issue"),
+    Step("ticket", "forward", "TicketForward"),
+    Step("ticket", "spend", "spend"),
+    Step("ticket", "run", "run"),
+    Step("ticket", "record", "record"),
+    Step("ticket", "reply", "reply", 2),
+    Step("stop", "request", "stop"),
+    Step("stop", "lameduck", "phase:lameduck"),
+    Step("stop", "draining", "phase:draining"),
+    Step("stop", "handover", "TicketHandover"),
+    Step("stop", "exit", "exit"),
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Cell:
+    """One run: each fault strikes at its step."""
+
+    strikes: tuple[tuple[str, Step], ...]
+
+    @property
+    def name(self) -> str:
+        """Return the name shown in tables."""
+        return " + ".join(
+            f"{fault}@{step.script}.{step.name}" for fault, step in self.strikes
+        )
+
+    @property
+    def seed(self) -> int:
+        """Return the fixed seed of the cell."""
+        return zlib.crc32(self.name.encode())
+
+
+@dataclass(slots=True, frozen=True)
+class CellResult:
+    """Outcome of one cell."""
+
+    cell: Cell
+    n_struck: int
+    violations: tuple[str, ...]
+    n_answers: int
+    n_refusals: int
+    n_runs: int
+
+
+class Trigger:
+    """Inject one fault when its step is reached."""
+
+    def __init__(self, scenario: Scenario, fault: str, step: Step) -> None:
+        self.scenario = scenario
+        self.fault = fault
+        self.step = step
+        self.n_seen = 0
+        self.struck = False
+
+    def __call__(self, hook: str, host: FakeHost | None, detail: Any) -> None:
+        """Count the hook and strike at the wanted occurrence."""
+        if self.struck or hook != self.step.hook or host is None:
+            return
+        self.n_seen += 1
+        if self.n_seen < self.step.occurrence:
+            return
+        self.struck = True
+        sub = detail if isinstance(detail, SendSub) else None
+        self.scenario.world.journal.faults.append(self.fault)
+        FAULTS[self.fault](FaultContext(self.scenario, host, sub))
+
+
+def single_cells() -> Iterator[Cell]:
+    """Yield every fault at every step."""
+    for fault, step in itertools.product(FAULTS, STEPS):
+        yield Cell(((fault, step),))
+
+
+def double_cells() -> Iterator[Cell]:
+    """Yield each fault twice at each step."""
+    for fault, step in itertools.product(FAULTS, STEPS):
+        again = Step(step.script, step.name, step.hook, step.occurrence + 1)
+        yield Cell(((fault, step), (fault, again)))
+
+
+def pair_cells() -> Iterator[Cell]:
+    """Yield each pair of unlike faults at each pair of steps of one script."""
+    for first, second in itertools.permutations(FAULTS, 2):
+        for a, b in itertools.combinations_with_replacement(STEPS, 2):
+            if a.script == b.script:
+                yield Cell(((first, a), (second, b)))
+
+
+def run_cell(cell: Cell, build: BuildHost, seed: int | None = None) -> CellResult:
+    """Run one cell and check all invariants."""
+    scenario = Scenario(build, cell.seed if seed is None else seed)
+    world = scenario.world
+    violations = [
+        f"start: {host.name} is not ready"
+        for host in world.hosts.values()
+        if not host.ready
+    ]
+    triggers = [Trigger(scenario, fault, step) for fault, step in cell.strikes]
+    world.hooks.extend(triggers)
+    SCRIPTS[cell.strikes[0][1].script](scenario)
+    run_background(scenario)
+    scenario.finish()
+    violations += check_all(world.journal, scenario.sets)
+    replies = [r for a in world.journal.attempts for r in a.replies]
+    return CellResult(
+        cell,
+        sum(t.struck for t in triggers),
+        tuple(violations),
+        sum(r.answer is not None for r in replies),
+        sum(r.error is not None for r in replies),
+        len(world.journal.runs),
+    )
+
+
+def run_background(scenario: Scenario) -> None:
+    """Send queries and orders through ready hosts for a while."""
+    world = scenario.world
+    start_s = world.now
+    for n in range(int(BACKGROUND_S / BACKGROUND_PERIOD_S)):
+        world.at(
+            start_s + n * BACKGROUND_PERIOD_S,
+            lambda n=n: send_background(scenario, n),
+        )
+    world.run_until(start_s + BACKGROUND_S)
+
+
+def send_background(scenario: Scenario, n: int) -> None:
+    """Send one request through the balancer."""
+    host = scenario.pick_host()
+    if host is None:
+        return
+    if n % 4 == 3:
+        scenario.order()
+    else:
+        scenario.query(host, "kai" if n % 2 else "ana")
+
+
+def script_query(scenario: Scenario) -> None:
+    """Send queries at once to all hosts, with one straggling replica."""
+    world = scenario.world
+    slow = world.backends.backends["archivo-01-bogota"]
+    slow.latency_s = 0.150
+    for n in range(3):
+        for host in list(world.hosts.values()):
+            world.after(
+                0.004 * n, lambda h=host, n=n: scenario.query(h, ("ana", "kai")[n % 2])
+            )
+    world.run_until(world.now + 1.0)
+    slow.latency_s = 0.004
+
+
+def script_configuration(scenario: Scenario) -> None:
+    """Publish twice in quick succession."""
+    world = scenario.world
+    host = next(iter(world.hosts.values()))
+    scenario.publish_again()
+    world.fire("publish", host)
+    world.run_until(world.now + 0.7)
+    scenario.publish_again()
+    world.fire("publish", host)
+    world.run_until(world.now + 1.0)
+
+
+def script_ticket(scenario: Scenario) -> None:
+    """Send several not-repeatable requests with impatient resends."""
+    world = scenario.world
+    for n in range(5):
+        world.after(0.05 * n, lambda: scenario.order())
+    world.run_until(world.now + 1.5)
+
+
+def script_stop(scenario: Scenario) -> None:
+    """Stop one host gracefully under traffic."""
+    world = scenario.world
+    host = world.hosts["h1"]
+    for _ in range(3):
+        scenario.order()
+        scenario.query(host)
+    world.run_until(world.now + 0.002)
+    scenario.stop(host)
+
+
+SCRIPTS: dict[str, Callable[[Scenario], None]] = {
+    "query": script_query,
+    "configuration": script_configuration,
+    "ticket": script_ticket,
+    "stop": script_stop,
+}
--- /dev/null
+++ b/jackdawsill/matrix/_fakes.py
@@ -0,0 +1,127 @@
+"""Small fakes of a backend server, the configuration service and the host list."""
+
+import hashlib
+import json
+from dataclasses import dataclass, field
+
+from jackdawsill.core import FailureKind, HostEntry, LoadReport
+from jackdawsill.objects import ObjectSet, Replica
+
+MANIFEST_KEY = "manifest"
+
+
+@dataclass(slots=True)
+class FakeBackend:
+    """Backend server whose behaviour is a set of flags."""
+
+    replica: Replica
+    n_slots: int
+    latency_s: float = 0.004
+    alive: bool = True
+    draining: bool = False
+    starting: bool = False
+    shedding: bool = False
+    cap_refused: bool = False
+    corrupt: bool = False
+    cut_off: bool = False
+    unservable: set[str] = field(default_factory=set)
+    poison: set[bytes] = field(default_factory=set)
+    n_running: int = 0
+    in_flight: dict[int, str] = field(default_factory=dict)
+
+    def refusal(self, snapshot: str) -> FailureKind | None:
+        """Return the reason why a sub-request is not run, if there is one."""
+        if not self.alive:
+            return FailureKind.CONNECT
+        if self.cap_refused:
+            return FailureKind.CAP
+        if self.draining:
+            return FailureKind.DRAINING
+        if self.starting:
+            return FailureKind.STARTING
+        if self.shedding:
+            return FailureKind.SHED
+        if snapshot in self.unservable:
+            return FailureKind.DECLINED
+        return None
+
+    def load(self) -> LoadReport:
+        """Return the load as sent with an answer."""
+        return LoadReport(self.n_running, self.n_slots)
+
+
+class FakeConfigService:
+    """Configuration service that can be read, can be down and can be stale."""
+
+    __slots__ = ("down", "sets_", "stale_generation", "values_", "versions_")
+
+    def __init__(self) -> None:
+        self.down = False
+        self.stale_generation: int | None = None
+        self.values_: dict[str, bytes] = {}
+        self.versions_: list[bytes] = []
+        self.sets_: dict[bytes, ObjectSet] = {}
+
+    def publish(self, objects: ObjectSet) -> None:
+        """Store a set as one value and its manifest, the manifest last."""
+        value = repr(sorted(objects.routes.values(), key=lambda r: r.name)).encode()
+        value += repr(sorted(objects.replicas.values(), key=lambda r: r.name)).encode()
+        value += repr(sorted(objects.callers.values(), key=lambda c: c.name)).encode()
+        value += repr(sorted(objects.snapshots)).encode()
+        sha256 = hashlib.sha256(value).hexdigest()
+        entry = {"key": sha256, "sha256": sha256, "size": len(value)}
+        manifest = json.dumps(
+            {
+                "generation": objects.generation,
+                "digest": objects.digest,
+                "values": [entry],
+            }
+        ).encode()
+        self.values_[sha256] = value
+        self.versions_.append(manifest)
+        self.sets_[manifest] = objects
+
+    def read(self, key: str) -> tuple[bytes | None, str]:
+        """Return the value of a key with its version."""
+        if key != MANIFEST_KEY:
+            return self.values_.get(key), key
+        if not self.versions_:
+            return None, ""
+        manifest = self.versions_[-1]
+        if self.stale_generation is not None:
+            older = [
+                m
+                for m in self.versions_
+                if json.loads(m)["generation"] <= self.stale_generation
+            ]
+            manifest = older[-1] if older else None
+        if manifest is None:
+            return None, ""
+        return manifest, hashlib.sha256(manifest).hexdigest()
+
+    def load(self, manifest: bytes, values: dict[str, bytes]) -> ObjectSet:
+        """Verify a set as read by a host and return its objects."""
+        for entry in json.loads(manifest)["values"]:
+            if hashlib.sha256(values[entry["key"]]).hexdigest() != entry["sha256"]:
+                raise ValueError("a value does not match its hash")
+        return self.sets_[manifest]
+
+
+@dataclass(slots=True)
+class FakeHostList:
+    """Host list of the platform; it lags by `lag_s`."""
+
+    lag_s: float = 3.0
+    changes: list[tuple[float, tuple[HostEntry, ...]]] = field(default_factory=list)
+
+    def update(self, entries: tuple[HostEntry, ...], now: float) -> None:
+        """Record a new list."""
+        self.changes.append((now, entries))
+
+    def read(self, now: float) -> tuple[HostEntry, ...]:
+        """Return the list as it was `lag_s` ago."""
+        known: tuple[HostEntry, ...] = self.changes[0][1] if self.changes else ()
+        for at_s, entries in self.changes:
+            if at_s <= now - self.lag_s:
+                known = entries
+        return known
--- /dev/null
+++ b/jackdawsill/matrix/_invariants.py
@@ -0,0 +1,235 @@
+"""Checks of the eight invariants against the journal of one run."""
+
+from collections import Counter
+from collections.abc import Callable
+
+from jackdawsill.exceptions import Outcome
+from jackdawsill.matrix._journal import Attempt, Journal, Reply
+from jackdawsill.objects import ObjectSet
+
+LEAVING_LIMIT_S = 3.0
+IN_FORCE_LIMIT_S = 5.0
+STOP_LIMIT_S = 30.0
+
+Check = Callable[[Journal, dict[int, ObjectSet]], list[str]]
+INVARIANTS: dict[str, Check] = {}
+
+
+def invariant(name: str) -> Callable[[Check], Check]:
+    """Return a decorator that registers the check of one invariant."""
+
+    def decorate(check: Check) -> Check:
+        INVARIANTS[name] = check
+        return check
+
+    return decorate
+
+
+def check_all(journal: Journal, sets: dict[int, ObjectSet]) -> list[str]:
+    """Return every violation found in a journal."""
+    return [
+        f"{name}: {violation}"
+        for name, check in INVARIANTS.items()
+        for violation in check(journal, sets)
+    ]
+
+
+def answered(journal: Journal) -> list[tuple[Attempt, Reply]]:
+    """Return the attempts that got an answer, with the answer."""
+    return [
+        (attempt, reply)
+        for attempt in journal.attempts
+        for reply in attempt.replies
+        if reply.answer is not None
+    ]
+
+
+@invariant("I1")
+def check_one_snapshot(journal: Journal, sets: dict[int, ObjectSet]) -> list[str]:
+    """Report answers whose items come from another snapshot than the one named."""
+    return [
+        f"{attempt.body!r} names {reply.answer.snapshot}, holds {item['snapshot']}"
+        for attempt, reply in answered(journal)
+        for item in reply.answer.items
+        if item.get("snapshot") != reply.answer.snapshot
+    ]
+
+
+@invariant("I2")
+def check_coverage(journal: Journal, sets: dict[int, ObjectSet]) -> list[str]:
+    """Report answers whose coverage differs from the shards of their items."""
+    violations = []
+    for attempt, reply in answered(journal):
+        answer = reply.answer
+        held = {item["shard"] for item in answer.items}
+        missing = {m.shard for m in answer.missing}
+        snapshot = next(
+            s.snapshots[answer.snapshot]
+            for s in reversed(list(sets.values()))
+            if answer.snapshot in s.snapshots
+        )
+        # A ticketed request addresses one shard of its snapshot.
+        expected = {shard.name for shard in snapshot.shards}
+        if held != set(answer.covered):
+            violations.append(f"{attempt.body!r} covers {answer.covered}, holds {held}")
+        if missing & held or (missing | held) != expected:
+            violations.append(f"{attempt.body!r} misses {missing} and holds {held}")
+        if answer.complete != (not missing):
+            violations.append(f"{attempt.body!r} is marked complete wrongly")
+        if any(not m.reason for m in answer.missing):
+            violations.append(f"{attempt.body!r} misses a shard without a reason")
+    return violations
+
+
+@invariant("I3")
+def check_own_answer(journal: Journal, sets: dict[int, ObjectSet]) -> list[str]:
+    """Report foreign, doubled, cut or forbidden items and doubled replies."""
+    violations = []
+    for attempt in journal.attempts:
+        if len(attempt.replies) > 1:
+            violations.append(f"{attempt.body!r} got {len(attempt.replies)} replies")
+    for attempt, reply in answered(journal):
+        objects = newest_set(journal, sets, reply)
+        caller = objects.callers[attempt.caller]
+        route = objects.routes[attempt.route]
+        visible = objects.visible_classes(caller, route)
+        if not objects.may_query(caller, route):
+            violations.append(f"{attempt.body!r} answered without entitlement")
+        for item in reply.answer.items:
+            if item["body"] != attempt.body.decode():
+                violations.append(f"{attempt.body!r} got an item of {item['body']!r}")
+            if item["class"] not in visible:
+                violations.append(f"{attempt.body!r} got class {item['class']}")
+        counts = Counter((i["shard"], i["n"]) for i in reply.answer.items)
+        n_expected = len(visible & {"draft", "approved-proof"})
+        for shard in reply.answer.covered:
+            n_items = sum(n for (name, _), n in counts.items() if name == shard)
+            if n_items != n_expected:
+                violations.append(
+                    f"{attempt.body!r} holds {n_items} items of {shard}, "
+                    f"not {n_expected}"
+                )
+    return violations
+
+
+@invariant("I4")
+def check_not_run(journal: Journal, sets: dict[int, ObjectSet]) -> list[str]:
+    """Report refusals that say `not_run` for a request that was run."""
+    violations = []
+    for attempt, reply in refused_as_not_run(journal):
+        run_before = any(
+            run.body == attempt.body and run.at_s <= reply.at_s for run in journal.runs
+        )
+        run_later = any(
+            run.body == attempt.body and run.at_s > reply.at_s for run in journal.runs
+        )
+        # Another attempt of the same request may be run after this refusal.
+        other_open = any(
+            other is not attempt
+            and other.body == attempt.body
+            and all(r.at_s >= reply.at_s for r in other.replies)
+            for other in journal.attempts
+        )
+        if run_before or (run_later and not other_open):
+            violations.append(f"{attempt.body!r} was run but refused: {reply.error}")
+    return violations
+
+
+def refused_as_not_run(journal: Journal) -> list[tuple[Attempt, Reply]]:
+    """Return the attempts that were refused as not run, tickets issued aside."""
+    return [
+        (attempt, reply)
+        for attempt in journal.attempts
+        for reply in attempt.replies
+        if reply.error is not None
+        and reply.error.outcome is Outcome.NOT_RUN
+        and reply.ticket is None
+    ]
+
+
+@invariant("I5")
+def check_at_most_once(journal: Journal, sets: dict[int, ObjectSet]) -> list[str]:
+    """Report not-repeatable requests that were run more than once."""
+    counts = Counter(run.body for run in journal.runs if not run.repeatable)
+    return [f"{body!r} ran {n} times" for body, n in counts.items() if n > 1]
+
+
+@invariant("I6")
+def check_leaving(journal: Journal, sets: dict[int, ObjectSet]) -> list[str]:
+    """Report work sent to a leaving backend server over the time limit."""
+    violations = []
+    for sub in journal.subs:
+        since_s = journal.leaving_since.get(sub.replica)
+        if since_s is None or sub.host in journal.unreachable:
+            continue
+        back_s = journal.returned_at.get(sub.replica, float("inf"))
+        if since_s + LEAVING_LIMIT_S < sub.at_s < back_s:
+            violations.append(
+                f"{sub.host} sent work to {sub.replica} {sub.at_s - since_s:.1f} s "
+                "after it was known to leave"
+            )
+    return violations
+
+
+@invariant("I7")
+def check_graceful_stop(journal: Journal, sets: dict[int, ObjectSet]) -> list[str]:
+    """Report requests cut off by a planned stop, and stops that do not end."""
+    violations = []
+    for host, asked_s in journal.stops.items():
+        if host in journal.unreachable:
+            continue
+        exit_s = journal.exits.get(host)
+        if exit_s is None or exit_s - asked_s > STOP_LIMIT_S:
+            violations.append(f"{host} did not exit within {STOP_LIMIT_S} s")
+    stopped = set(journal.stops) - set(journal.unreachable)
+    violations += [
+        f"{attempt.body!r} was cut off at {attempt.host}"
+        for attempt in journal.attempts
+        if attempt.host in stopped and not attempt.replies
+    ]
+    return violations
+
+
+@invariant("I8")
+def check_configuration(journal: Journal, sets: dict[int, ObjectSet]) -> list[str]:
+    """Report generations that fall, or are not in force within the limit."""
+    violations = []
+    newest: dict[str, int] = {}
+    first_s: dict[int, float] = {}
+    for seen in journal.generations:
+        if seen.generation <= newest.get(seen.incarnation, -1):
+            violations.append(f"{seen.host} went back to {seen.generation}")
+        newest[seen.incarnation] = seen.generation
+        first_s.setdefault(seen.generation, seen.at_s)
+    for attempt, reply in answered(journal):
+        for generation, at_s in first_s.items():
+            late = reply.at_s > at_s + IN_FORCE_LIMIT_S
+            if reply.host in journal.unreachable or not late:
+                continue
+            if reply.answer.generation < generation:
+                violations.append(
+                    f"{reply.host} answered {attempt.body!r} under "
+                    f"{reply.answer.generation}, {reply.at_s - at_s:.1f} s after "
+                    f"{generation} was accepted"
+                )
+    return violations
+
+
+@invariant("replies")
+def check_replies(journal: Journal, sets: dict[int, ObjectSet]) -> list[str]:
+    """Report attempts without a reply at a host that did not die."""
+    return [
+        f"{attempt.body!r} got no reply from {attempt.host}"
+        for attempt in journal.attempts
+        if not attempt.replies and not attempt.host_died
+    ]
+
+
+def newest_set(journal: Journal, sets: dict[int, ObjectSet], reply: Reply) -> ObjectSet:
+    """Return the set that was in force at a host when it replied."""
+    generation = max(
+        seen.generation
+        for seen in journal.generations
+        if seen.host == reply.host and seen.at_s <= reply.at_s
+    )
+    return sets[generation]
--- /dev/null
+++ b/jackdawsill/matrix/_scenario.py
@@ -0,0 +1,209 @@
+"""Scripts of the matrix: queries, a publication, a ticket's life, a planned stop."""
+
+import random
+from collections.abc import Callable
+
+from jackdawsill.core import QueryArrived, StopRequested
+from jackdawsill.exceptions import Outcome
+from jackdawsill.matrix._backends import BackendNetwork
+from jackdawsill.matrix._fakes import FakeBackend
+from jackdawsill.matrix._journal import Attempt, Reply
+from jackdawsill.matrix._sets import (
+    TOKENS,
+    add_repartition,
+    first_set,
+    move_caller,
+    next_generation,
+)
+from jackdawsill.matrix._world import FakeHost, World
+from jackdawsill.objects import ObjectSet
+
+DOMAINS = ("bogota", "medellin", "cali")
+START_S = 8.0
+QUIET_S = 14.0
+QUERY_DEADLINE_S = 0.340
+RESEND_AFTER_S = 0.6
+# The balancer acts on a health check that is up to this old.
+BALANCER_LAG_S = 1.0
+
+
+class Scenario:
+    """Hold a running world and the acts of callers and operators."""
+
+    def __init__(self, build: Callable[[World, FakeHost], object], seed: int) -> None:
+        self.sets: dict[int, ObjectSet] = {}
+        objects = first_set()
+        backends = {
+            name: FakeBackend(
+                replica,
+                n_slots=objects.groups[objects.services[replica.service].group].n_slots,
+            )
+            for name, replica in objects.replicas.items()
+        }
+        for backend in backends.values():
+            backend.unservable.add("archivo-2")
+        self.world = World(build, BackendNetwork(backends), seed)
+        self.rng = random.Random(seed + 1)
+        self.publish(objects)
+        self.n_orders = 0
+        self.last_body = b"{}"
+        for number, domain in enumerate(DOMAINS, start=1):
+            self.world.start_host(f"h{number}", f"10.0.0.{number}:7000", domain)
+        self.world.run_until(self.world.now + START_S)
+
+    # Operators
+
+    def publish(self, objects: ObjectSet) -> None:
+        """Publish a set on the configuration service."""
+        self.sets[objects.generation] = objects
+        self.world.config.publish(objects)
+        self.world.journal.published[objects.generation] = self.world.now
+
+    def newest(self) -> ObjectSet:
+        """Return the set published last."""
+        return self.sets[max(self.sets)]
+
+    def publish_again(self) -> None:
+        """Publish the newest set with a change that no query depends on."""
+        self.publish(next_generation(self.newest()))
+
+    def publish_repartition(self) -> None:
+        """Publish a snapshot with another shard map."""
+        self.publish(add_repartition(next_generation(self.newest())))
+
+    def publish_reorganisation(self) -> None:
+        """Move the main caller to a department without access."""
+        self.publish(move_caller(next_generation(self.newest())))
+
+    def excuse(self, host: FakeHost) -> None:
+        """Note a host that a fault keeps from knowing the present state."""
+        self.world.journal.unreachable.append(host.name)
+
+    def lose_host(self, host: FakeHost) -> None:
+        """End a host; a new process starts on its machine."""
+        if not host.alive:
+            return
+        self.world.stop_process(host)
+        self.world.after(
+            3.0,
+            lambda: self.world.start_host(host.name, host.address, host.failure_domain),
+        )
+
+    def other_host(self, host: FakeHost) -> FakeHost | None:
+        """Return a live host other than the given one."""
+        others = [
+            h for h in self.world.hosts.values() if h.alive and h.name != host.name
+        ]
+        return others[0] if others else None
+
+    def cut(self, host: FakeHost) -> None:
+        """Cut a host from its peers and the platform."""
+        for other in self.world.hosts:
+            if other != host.name:
+                self.world.cuts.add(frozenset((host.name, other)))
+        self.world.config_cut.add(host.name)
+
+    def heal(self, host: FakeHost) -> None:
+        """Undo `cut`."""
+        self.world.cuts = {c for c in self.world.cuts if host.name not in c}
+        self.world.config_cut.discard(host.name)
+
+    def stop(self, host: FakeHost) -> None:
+        """Ask a host for a graceful stop."""
+        self.world.journal.stops[host.name] = self.world.now
+        self.world.fire("stop", host)
+        self.world.feed(host, StopRequested())
+
+    # Callers
+
+    def current_body(self) -> bytes:
+        """Return the body of the request sent last."""
+        return self.last_body
+
+    def query(self, host: FakeHost, caller: str = "ana") -> Attempt:
+        """Send a new query to a host."""
+        self.n_orders += 1
+        body = f'{{"q":"dieline {self.n_orders}"}}'.encode()
+        return self.send(host, caller, "search", body)
+
+    def send(
+        self,
+        host: FakeHost,
+        caller: str,
+        route: str,
+        body: bytes,
+        ticket: str | None = None,
+        on_reply: Callable[[Attempt, Reply | None], None] | None = None,
+    ) -> Attempt:
+        """Send one attempt of a request to a host."""
+        world = self.world
+        self.last_body = body
+        attempt = Attempt(caller, route, body, host.name, world.now, QUERY_DEADLINE_S)
+        world.journal.attempts.append(attempt)
+        world.fire("admit", host, None)
+        if not host.alive:
+            attempt.host_died = True
+        else:
+            assert host.state is not None
+            query_id = host.state.next_id()
+            host.attempts[query_id] = attempt
+            event = QueryArrived(
+                query_id=query_id,
+                request_id=f"r-{query_id}-{host.name}-{host.epoch}",
+                route=route,
+                token=TOKENS[caller],
+                body=body,
+                deadline_s=QUERY_DEADLINE_S,
+                ticket=ticket,
+            )
+            world.feed(host, event)
+        if on_reply is not None:
+            world.after(
+                RESEND_AFTER_S,
+                lambda: on_reply(
+                    attempt, attempt.replies[0] if attempt.replies else None
+                ),
+            )
+        return attempt
+
+    def order(self, n_resends: int = 4) -> bytes:
+        """Send a not-repeatable request; resend it as a caller would."""
+        self.n_orders += 1
+        body = f'{{"order":{self.n_orders}}}'.encode()
+        self._send_order(body, None, n_resends)
+        return body
+
+    def _send_order(self, body: bytes, ticket: str | None, n_left: int) -> None:
+        host = self.pick_host()
+        if host is None or n_left < 0:
+            return
+
+        def on_reply(attempt: Attempt, reply: Reply | None) -> None:
+            if reply is not None and reply.ticket is not None:
+                self._send_order(body, reply.ticket, n_left - 1)
+                return
+            unknown = reply is None or (
+                reply.error is not None and reply.error.outcome is not Outcome.NOT_RUN
+            )
+            if ticket is not None and (unknown or n_left > 2):
+                # Impatient callers resend with the same ticket at another host.
+                self._send_order(body, ticket, n_left - 1)
+
+        self.send(host, "ana", "print-order", body, ticket, on_reply)
+
+    def pick_host(self) -> FakeHost | None:
+        """Return a host that the balancer holds ready."""
+        ready = [h for h in self.world.hosts.values() if h.alive and h.ready]
+        return self.rng.choice(ready) if ready else None
+
+    def finish(self) -> None:
+        """Let everything settle, then query every host once more."""
+        world = self.world
+        world.hooks.clear()
+        world.run_until(world.now + QUIET_S)
+        for backend in world.backends.backends.values():
+            backend.poison.clear()
+        for host in list(world.hosts.values()):
+            if host.alive and host.ready:
+                self.query(host)
+        world.run_until(world.now + 1.0)
