--- a/jackdawsill/cli/_bundles.py
+++ b/jackdawsill/cli/_bundles.py
@@ -8,7 +8,10 @@
     MANIFEST_KEY,
     Bundle,
     BundleInvalid,
+    CheckedSet,
     ObjectSet,
+    bundle_set,
+    check_change,
     check_set,
     load_bundle,
     read_manifest,
@@ -23,11 +26,12 @@
         raise BundleNotWritten(message) from None
 
 
-def _check_rising(bundle: Bundle, path: Path) -> None:
-    """Refuse a generation that hosts with the present bundle would not accept."""
+def _check_successor(bundle: Bundle, checked: CheckedSet, directory: Path) -> None:
+    """Refuse what hosts with the bundle present would ignore or contradict."""
+    path = directory / MANIFEST_KEY
     if not path.exists():
         return
-    present = read_manifest(_read(path))
+    present = read_set(directory)
     if (present.generation, present.digest) == (bundle.generation, bundle.digest):
         return
     if present.generation >= bundle.generation:
@@ -35,11 +39,13 @@
             f"{path} holds generation {present.generation}; generation "
             f"{bundle.generation} must be above it"
         )
+    check_change(present, checked)
 
 
-def write_bundle(bundle: Bundle, directory: Path) -> None:
+def write_bundle(checked: CheckedSet, generation: int, directory: Path) -> Bundle:
     """Write the values and then the manifest; values of older bundles stay."""
-    _check_rising(bundle, directory / MANIFEST_KEY)
+    bundle = bundle_set(checked.objects, generation)
+    _check_successor(bundle, checked, directory)
     try:
         directory.mkdir(parents=True, exist_ok=True)
         for key, data in bundle.items():
@@ -50,6 +56,7 @@
     except OSError as exc:
         message = f"{directory} cannot be written: {exc.strerror or exc}"
         raise BundleNotWritten(message) from None
+    return bundle
 
 
 def read_set(directory: Path) -> ObjectSet:
--- a/jackdawsill/cli/_commands.py
+++ b/jackdawsill/cli/_commands.py
@@ -3,6 +3,7 @@
 import asyncio
 import json as json_module
 import re
+import sys
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -15,7 +16,8 @@
 from jackdawsill.cli._errors import BadArgument, CommandFailed
 from jackdawsill.cli._render import render, render_diff
 from jackdawsill.exceptions import JackdawsillError
-from jackdawsill.objects import SetInvalid, bundle_set, check_set, diff
+from jackdawsill.ini import one_line
+from jackdawsill.objects import CheckedSet, SetInvalid, check_set, diff
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
 _MAX_TIMEOUT_S = 3_600.0
@@ -57,10 +59,18 @@
     print(json_module.dumps(value, indent=2))
 
 
+def _check(directory: str) -> CheckedSet:
+    """Return a checked set after printing the remarks on it."""
+    checked = check_set(directory)
+    for advice in checked.advice:
+        print(one_line(str(advice)), file=sys.stderr)
+    return checked
+
+
 @_command
 def check(directory: str) -> None:
-    """Check the object files of a directory and print every error."""
-    checked = check_set(directory)
+    """Check the object files of a directory; print every error and warning."""
+    checked = _check(directory)
     counts: dict[str, int] = {}
     for kind, _ in checked.places:
         counts[kind] = counts.get(kind, 0) + 1
@@ -70,9 +80,12 @@
 
 @_command
 def bundle(directory: str, generation: int, out: str) -> None:
-    """Check a directory and write its bundle; publish the file `manifest` last."""
-    made = bundle_set(check_set(directory).objects, generation)
-    write_bundle(made, Path(out))
+    """Check a directory and write its bundle; publish the file `manifest` last.
+
+    OUT may hold the bundle published before: its generation must be lower and its
+    snapshots must not change.
+    """
+    made = write_bundle(_check(directory), generation, Path(out))
     print(f"generation {made.generation}, digest {made.digest}")
     for key, data in made.items():
         print(f"{key} {len(data)} bytes")
--- a/jackdawsill/cli/tests/test_commands.py
+++ b/jackdawsill/cli/tests/test_commands.py
@@ -81,6 +81,9 @@
         for generation in ("3", "2"):
             self.assertIn("JDS-5205", run(*make, generation)[2])
         self.assertEqual(run(*make, "4")[0], 0)
+        self.edit("archivo.ini", "a02:archivo-02", "a02:archivo-01")
+        self.assertIn("JDS-1125", run(*make, "5")[2])
+        self.assertIn("warning: no snapshot needs", run("check", str(self.set))[2])
         self.assertIn("JDS-1152", run(*make, "0")[2])
         self.assertIn("JDS-5201", run(*make, "x")[2])
 
--- a/jackdawsill/objects/__init__.py
+++ b/jackdawsill/objects/__init__.py
@@ -1,5 +1,6 @@
 """Named objects: model, reading, checking, bundling and comparing sets."""
 
+from jackdawsill.objects._advice import Advice
 from jackdawsill.objects._bundle import (
     MANIFEST_KEY,
     Bundle,
@@ -11,7 +12,7 @@
     load_bundle,
     read_manifest,
 )
-from jackdawsill.objects._check import CheckedSet, check_set
+from jackdawsill.objects._check import CheckedSet, check_change, check_set
 from jackdawsill.objects._diff import (
     Action,
     CallerChange,
@@ -48,6 +49,7 @@
     "MANIFEST_KEY",
     "SET_INVALID",
     "Action",
+    "Advice",
     "BadGeneration",
     "Bundle",
     "BundleInvalid",
@@ -75,6 +77,7 @@
     "Snapshot",
     "bundle",
     "bundle_set",
+    "check_change",
     "check_set",
     "check_value",
     "diff",
--- a/jackdawsill/objects/_check.py
+++ b/jackdawsill/objects/_check.py
@@ -6,8 +6,9 @@
 from typing import Any
 
 from jackdawsill.objects import _set_rules, _value_rules
+from jackdawsill.objects._advice import Advice, advise
 from jackdawsill.objects._draft import Draft, ObjectId, Place
-from jackdawsill.objects._errors import SetInvalid
+from jackdawsill.objects._errors import SetInvalid, SnapshotChanged
 from jackdawsill.objects._kinds import KINDS
 from jackdawsill.objects._model import ObjectSet
 from jackdawsill.objects._read import read_directory
@@ -20,10 +21,11 @@
 
 @dataclass(slots=True)
 class CheckedSet:
-    """A valid set of generation 0, and the place of each object in its files."""
+    """A valid set of generation 0, the places of its objects, and remarks on it."""
 
     objects: ObjectSet
     places: dict[ObjectId, Place]
+    advice: tuple[Advice, ...]
 
 
 def check_draft(draft: Draft, subject: str) -> None:
@@ -47,4 +49,24 @@
     draft = read_directory(Path(directory))
     check_draft(draft, str(directory))
     digest = overall_digest(encode_values(draft.tables))
-    return CheckedSet(make_set(draft.tables, 0, digest), draft.places)
+    objects = make_set(draft.tables, 0, digest)
+    return CheckedSet(objects, draft.places, advise(objects, draft.places))
+
+
+def check_change(published: ObjectSet, checked: CheckedSet) -> None:
+    """Refuse a set that changes a published snapshot; raise `SetInvalid`.
+
+    Hosts on either set would otherwise answer for one snapshot by different shard
+    maps.
+    """
+    draft = Draft(places=checked.places)
+    for name, snapshot in checked.objects.snapshots.items():
+        known = published.snapshots.get(name)
+        if known is not None and known != snapshot:
+            message = (
+                f"differs from the snapshot published in generation "
+                f"{published.generation}; publish it under a new name and version"
+            )
+            draft.add(SnapshotChanged, message, "snapshot", name)
+    if draft.problems:
+        raise SetInvalid("set", draft.problems)
--- a/jackdawsill/objects/_errors.py
+++ b/jackdawsill/objects/_errors.py
@@ -133,6 +133,11 @@
     """A list names an entry twice."""
 
 
+@register_error(1125, status=409)
+class SnapshotChanged(ObjectProblem):
+    """A published snapshot has another group, version or shard map than before."""
+
+
 @register_error(1150, status=400)
 class BundleInvalid(JackdawsillError):
     """A manifest or a value of a bundle is missing, damaged or of another format."""
--- a/jackdawsill/objects/_values.py
+++ b/jackdawsill/objects/_values.py
@@ -26,7 +26,7 @@
 
 # Objects are cut into values at names whose hash is 0 modulo this number. A change
 # of one object then changes one value, which is all that hosts pull again, while a
-# starting host reads few values: 25 of 1 to 122 KB for 3,180 replicas.
+# starting host reads few values: 27 of 1 to 125 KB for 3,200 replicas.
 OBJECTS_PER_VALUE = 256
 
 # A value is also cut here, so that large shard maps never reach the limit.
--- a/jackdawsill/objects/tests/test_check.py
+++ b/jackdawsill/objects/tests/test_check.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from jackdawsill.core import Policy
-from jackdawsill.objects import SetInvalid, Shard, check_set
+from jackdawsill.objects import SetInvalid, Shard, check_change, check_set
 from jackdawsill.objects._draft import MAX_SUGGESTIONS
 from jackdawsill.objects.tests.sets import SetTestCase
 
@@ -167,7 +167,30 @@
             check_set(directory)
         self.assertEqual([p.line for p in caught.exception.problems], [2])
 
+    def test_remarks_leave_the_set_valid(self):
+        """Guards against unused objects and single failure domains unnoticed."""
+        checked = check_set(self.write(extra=OTHER_GROUP))
+        self.assertCountEqual(
+            [advice.section for advice in checked.advice],
+            ["group other", "service a1", "service a2", "service o1", "service o1"],
+        )
+        change = ("departments = design", "callers = printer")
+        checked = check_set(self.write(change))
+        messages = {a.section: a.message for a in checked.advice}
+        self.assertIn("class draft", messages["route search"])
+        self.assertIn("no route", messages["caller studio"])
+
+    def test_published_snapshots_do_not_change(self):
+        """Guards against one snapshot with two shard maps in the fleet."""
+        old = check_set(self.write()).objects
+        check_change(old, check_set(self.write(("[snapshot v1]", "[snapshot v2]"))))
+        checked = check_set(self.write(("s2:a2", "s2:a1")))
+        with self.assertRaises(SetInvalid) as caught:
+            check_change(old, checked)
+        (problem,) = caught.exception.problems
+        self.assertEqual((problem.code, problem.line), (1125, 20))
+
     def test_examples_are_valid(self):
         """Guards against examples that operators cannot publish."""
         for name in ("envases", "karoo"):
-            check_set(ROOT / "examples" / name)
+            self.assertEqual(check_set(ROOT / "examples" / name).advice, ())
