--- a/jackdawsill/hedging/__init__.py
+++ b/jackdawsill/hedging/__init__.py
@@ -1,1 +1,19 @@
-"""hedging."""
+"""Hedging: when to send a second sub-request, and how much extra load is allowed."""
+
+from jackdawsill.hedging import _handlers  # noqa: F401
+from jackdawsill.hedging._budget import BURST_TOKENS, ExtraLoadBudget
+from jackdawsill.hedging._policy import (
+    DEFAULT_DELAY_S,
+    HEDGE_QUANTILE,
+    N_SAMPLES_MIN,
+    HedgePolicy,
+)
+
+__all__ = [
+    "BURST_TOKENS",
+    "DEFAULT_DELAY_S",
+    "HEDGE_QUANTILE",
+    "N_SAMPLES_MIN",
+    "ExtraLoadBudget",
+    "HedgePolicy",
+]
--- /dev/null
+++ b/jackdawsill/hedging/_handlers.py
@@ -0,0 +1,14 @@
+"""Handlers that keep the hedging components up to date."""
+
+from jackdawsill.core import Effect, HostState, SetAccepted, handles
+from jackdawsill.hedging._budget import ExtraLoadBudget
+from jackdawsill.hedging._policy import HedgePolicy
+
+
+@handles(SetAccepted)
+def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
+    """Forget services and callers that the new set does not contain."""
+    if state.objects_ is not None:
+        state.part(HedgePolicy).prune(state.objects_.services)
+        state.part(ExtraLoadBudget).prune(state.objects_.callers)
+    return []
--- a/jackdawsill/limits/__init__.py
+++ b/jackdawsill/limits/__init__.py
@@ -1,1 +1,28 @@
-"""limits."""
+"""Limits: connection shares, concurrency, admission and retry suppression."""
+
+from jackdawsill.limits import _handlers  # noqa: F401
+from jackdawsill.limits._admission import AdmissionQueue, Offer, Released
+from jackdawsill.limits._concurrency import ConcurrencyLimits
+from jackdawsill.limits._messages import (
+    SubBatch,
+    SubBatchReply,
+    SubEntry,
+    SubReply,
+)
+from jackdawsill.limits._shares import SHARE_RECOVERY_S, ConnectionShares
+from jackdawsill.limits._sheds import SHED_FRACTION_MAX, ShedWatch
+
+__all__ = [
+    "SHARE_RECOVERY_S",
+    "SHED_FRACTION_MAX",
+    "AdmissionQueue",
+    "ConcurrencyLimits",
+    "ConnectionShares",
+    "Offer",
+    "Released",
+    "ShedWatch",
+    "SubBatch",
+    "SubBatchReply",
+    "SubEntry",
+    "SubReply",
+]
--- /dev/null
+++ b/jackdawsill/limits/_handlers.py
@@ -0,0 +1,30 @@
+"""Handlers that keep the limits up to date."""
+
+from jackdawsill.core import Effect, HostState, SetAccepted, Tick, handles
+from jackdawsill.limits._admission import AdmissionQueue
+from jackdawsill.limits._concurrency import ConcurrencyLimits
+from jackdawsill.limits._shares import ConnectionShares
+from jackdawsill.membership import MemberTable
+
+
+@handles(Tick)
+def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
+    """Follow the view of the fleet; comparing it costs microseconds per tick."""
+    shares = state.part(ConnectionShares)
+    members = state.part(MemberTable).live_hosts()
+    if len(members) != len(shares.hosts_) or any(
+        m.incarnation != known for m, known in zip(members, shares.hosts_, strict=True)
+    ):
+        shares.set_hosts([m.incarnation for m in members])
+        state.part(AdmissionQueue).n_hosts = max(1, len(members))
+    return []
+
+
+@handles(SetAccepted)
+def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
+    """Take capacities from the new set."""
+    if state.objects_ is not None:
+        state.part(ConnectionShares).set_objects(state.objects_)
+        state.part(ConcurrencyLimits).prune(state.objects_.replicas)
+        state.part(AdmissionQueue).set_objects(state.objects_)
+    return []
--- /dev/null
+++ b/jackdawsill/limits/_messages.py
@@ -0,0 +1,53 @@
+"""Messages that forward sub-requests to a host that holds a connection."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from jackdawsill.peers import PeerMessage, register_message
+
+
+@dataclass(slots=True, frozen=True)
+class SubEntry:
+    """One forwarded sub-request; `timeout_ms` counts from the receipt."""
+
+    sub_id: int
+    request_id: str
+    replica: str
+    shard: str
+    snapshot: str
+    timeout_ms: int
+
+
+@register_message("SubBatch")
+@dataclass(slots=True, frozen=True)
+class SubBatch(PeerMessage):
+    """Sub-requests of one query for replicas to which the receiver is connected."""
+
+    batch_id: int
+    body: bytes
+    entries: tuple[SubEntry, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class SubReply:
+    """Outcome of one forwarded sub-request; `failure` is empty if it answered."""
+
+    sub_id: int
+    request_id: str
+    snapshot: str = ""
+    shard: str = ""
+    items: tuple[dict[str, Any], ...] = ()
+    failure: str = ""
+    servable: tuple[str, ...] = ()
+    running: int = -1
+    n_slots: int = 0
+    draining: bool = False
+
+
+@register_message("SubBatchReply")
+@dataclass(slots=True, frozen=True)
+class SubBatchReply(PeerMessage):
+    """Outcomes of some entries of a batch, sent as they become known."""
+
+    batch_id: int
+    replies: tuple[SubReply, ...] = field(default_factory=tuple)
--- /dev/null
+++ b/jackdawsill/limits/_window.py
@@ -0,0 +1,92 @@
+"""Adaptive number of queries that run at a time in one group."""
+
+# Decrease after a query that met congestion. The factor is close to 1 because
+# all running queries report the same congestion one after the other.
+DECREASE = 0.85
+# A window below one query is kept by a pause between queries, which matters when
+# many hosts share a group that can run only a few queries.
+MIN_WINDOW = 0.25
+# Shed fraction and latency ratio of a query above which the group is congested.
+SHED_FRACTION_CONGESTED = 0.05
+LATENCY_RATIO_CONGESTED = 2.0
+# The lowest mean latency is remembered for one to two of these periods.
+BASE_PERIOD_S = 30.0
+SERVICE_WEIGHT = 0.1
+# Assumed time of a query before the first one has finished.
+DEFAULT_SERVICE_S = 0.05
+
+
+class QueryWindow:
+    """Adapt the number of running queries to the capacity that is left.
+
+    The mean latency of a query's sub-requests over all its shards varies little,
+    so its ratio to the lowest one shows queueing at the backend servers.
+    """
+
+    __slots__ = (
+        "base_before_s",
+        "base_ends_at",
+        "base_s",
+        "decreased_at",
+        "maximum",
+        "service_dev_s",
+        "service_s",
+        "value",
+    )
+
+    def __init__(self, start: float, maximum: float) -> None:
+        self.value = min(max(start, 1.0), maximum)
+        self.maximum = maximum
+        self.service_s = DEFAULT_SERVICE_S
+        self.service_dev_s = 0.0
+        self.base_s = float("inf")
+        self.base_before_s = float("inf")
+        self.base_ends_at = float("-inf")
+        self.decreased_at = float("-inf")
+
+    def n_allowed(self) -> int:
+        """Return how many queries may run."""
+        return max(1, int(self.value))
+
+    def rate(self) -> float:
+        """Return the expected number of queries finished per second."""
+        return self.value / self.service_s
+
+    def expected_s(self) -> float:
+        """Return the time within which most queries finish."""
+        return self.service_s + self.service_dev_s
+
+    def pause_s(self) -> float:
+        """Return the pause after a query that keeps a window below one."""
+        if self.value >= 1.0:
+            return 0.0
+        return self.service_s * (1.0 / self.value - 1.0)
+
+    def on_finished(
+        self,
+        service_s: float,
+        mean_latency_s: float,
+        shed_fraction: float,
+        was_full: bool,
+        now: float,
+    ) -> None:
+        """Learn from a query that was started and has ended."""
+        error_s = service_s - self.service_s
+        self.service_s += SERVICE_WEIGHT * error_s
+        self.service_dev_s += SERVICE_WEIGHT * (abs(error_s) - self.service_dev_s)
+        if now >= self.base_ends_at:
+            self.base_before_s = self.base_s
+            self.base_s = float("inf")
+            self.base_ends_at = now + BASE_PERIOD_S
+        if mean_latency_s > 0:
+            self.base_s = min(self.base_s, mean_latency_s)
+        base_s = min(self.base_s, self.base_before_s)
+        if (
+            shed_fraction > SHED_FRACTION_CONGESTED
+            or mean_latency_s > LATENCY_RATIO_CONGESTED * base_s
+        ):
+            if now - self.decreased_at >= self.service_s:
+                self.value = max(MIN_WINDOW, self.value * DECREASE)
+                self.decreased_at = now
+        elif was_full and self.value < self.maximum:
+            self.value = min(self.maximum, self.value + 1 / max(self.value, 1.0))
--- /dev/null
+++ b/jackdawsill/query/_hedge.py
@@ -0,0 +1,73 @@
+"""Step 6: send stragglers to a second replica."""
+
+from jackdawsill.core import Count, Effect, HostState
+from jackdawsill.hedging import ExtraLoadBudget, HedgePolicy
+from jackdawsill.quarantine import Verdict
+from jackdawsill.query._canary import move_canary
+from jackdawsill.query._model import Query, ShardTask
+from jackdawsill.query._pick import pick
+from jackdawsill.query._send import TIMER_STEP_S, arm, send_to, verdict
+
+# Sub-requests in flight for one shard.
+N_IN_FLIGHT_LATENCY = 2
+N_IN_FLIGHT_COVERAGE = 3
+
+
+def hedge(state: HostState, query: Query, now: float, out: list[Effect]) -> None:
+    """Hedge all shards that are due, and set the timer for the next one."""
+    query.hedge_timer_at = float("inf")
+    if now >= query.cutoff_at:
+        return
+    due = [
+        task
+        for task in query.open.values()
+        if task.hedge_at <= now + TIMER_STEP_S and (task.subs or task is query.canary)
+    ]
+    if due:
+        found = verdict(state, query, now)
+        if found is Verdict.CONDEMNED:
+            return
+        for task in due:
+            _hedge_shard(state, query, task, found, now, out)
+    next_at = min(
+        (
+            task.hedge_at
+            for task in query.open.values()
+            if task.hedge_at > now and (task.subs or task is query.canary)
+        ),
+        default=query.cutoff_at,
+    )
+    if next_at < query.cutoff_at:
+        arm(query, next_at, out)
+
+
+def _hedge_shard(
+    state: HostState,
+    query: Query,
+    task: ShardTask,
+    found: Verdict,
+    now: float,
+    out: list[Effect],
+) -> None:
+    delay_s = state.part(HedgePolicy).delay_s(task.shard.service, now)
+    task.hedge_at = now + delay_s
+    if task is query.canary:
+        move_canary(state, query, now, out)
+        return
+    if found is not Verdict.CLEAR:
+        return
+    coverage = query.is_coverage_first
+    n_max = N_IN_FLIGHT_COVERAGE if coverage else N_IN_FLIGHT_LATENCY
+    if len(task.subs) >= n_max:
+        task.hedge_at = float("inf")
+        return
+    if not coverage and now + delay_s / 2 > query.cutoff_at:
+        return  # it would hardly answer in time
+    replica, _ = pick(state, query, task, now)
+    if replica is None or any(sub.replica == replica.name for sub in task.subs):
+        return
+    budget = state.part(ExtraLoadBudget)
+    if not budget.try_spend(query.caller, now, for_missing=coverage):
+        return
+    send_to(state, query, task, replica, now, out)
+    out.append(Count("hedges_sent"))
--- /dev/null
+++ b/jackdawsill/query/_log_events.py
@@ -0,0 +1,33 @@
+"""Log events of the query path."""
+
+import logbook
+
+from jackdawsill.logs import register_log_event
+
+QUERY_RESTARTED = register_log_event(
+    2000,
+    "query_restarted",
+    "query {request_id} restarts on {new} after {n_declined} shards declined {old}",
+    "replicas no longer serve the snapshot that the query was bound to",
+)
+REPLICA_CRASHED = register_log_event(
+    2001,
+    "replica_crashed",
+    "replica {replica} lost a connection with {n_requests} requests in flight",
+    "the requests in flight are suspected and retried as canaries",
+    logbook.WARNING,
+)
+REQUEST_CONDEMNED = register_log_event(
+    2002,
+    "request_condemned",
+    "fingerprint {fingerprint} crashed replica {replica} as a canary",
+    "the request is refused everywhere for a time",
+    logbook.WARNING,
+)
+BAD_ANSWER = register_log_event(
+    2003,
+    "bad_answer",
+    "replica {replica} answered for another {field}",
+    "the answer was discarded and counted as a failed sub-request",
+    logbook.WARNING,
+)
--- /dev/null
+++ b/jackdawsill/query/_merge.py
@@ -0,0 +1,49 @@
+"""Step 7: merge the answers of the shards."""
+
+from typing import Any
+
+from jackdawsill.core import Answer, MissingShard
+from jackdawsill.objects import Caller, ObjectSet, Route
+from jackdawsill.query._model import MissingReason, Query, ShardTask
+
+
+def merge(query: Query, caller: Caller, route: Route, objects: ObjectSet) -> Answer:
+    """Return the answer from the shards that were answered, in shard order.
+
+    `caller` and `route` are those of the newest set. Items whose class the
+    caller may not see, or that carry no class, are left out.
+    """
+    visible = objects.visible_classes(caller, route)
+    covered: list[str] = []
+    missing: list[MissingShard] = []
+    items: list[dict[str, Any]] = []
+    for task in query.tasks:
+        if task.items is None:
+            missing.append(MissingShard(task.shard.name, missing_reason(query, task)))
+            continue
+        covered.append(task.shard.name)
+        items += [item for item in task.items if _class_of(item) in visible]
+    return Answer(
+        query.request.request_id,
+        query.route.name,
+        query.snapshot.name,
+        objects.generation,
+        not missing,
+        tuple(covered),
+        tuple(missing),
+        tuple(items),
+    )
+
+
+def missing_reason(query: Query, task: ShardTask) -> str:
+    """Return why a shard is missing."""
+    if task.subs:
+        return MissingReason.NO_ANSWER.value
+    if task in query.held or task is query.canary:
+        return MissingReason.SUSPECTED.value
+    return str(task.reason)
+
+
+def _class_of(item: Any) -> str | None:
+    found = item.get("class") if isinstance(item, dict) else None
+    return found if isinstance(found, str) else None
--- a/jackdawsill/routing/__init__.py
+++ b/jackdawsill/routing/__init__.py
@@ -1,1 +1,22 @@
-"""routing."""
+"""Routing: what this host knows of replicas, and the choice between them."""
+
+from jackdawsill.routing._handlers import spread_leaving
+from jackdawsill.routing._log_events import REPLICA_EJECTED, REPLICA_LEAVING
+from jackdawsill.routing._messages import LeavingNotice
+from jackdawsill.routing._replica import (
+    LEAVING_TTL_S,
+    RAMP_S,
+    ReplicaState,
+)
+from jackdawsill.routing._table import ReplicaTable
+
+__all__ = [
+    "LEAVING_TTL_S",
+    "RAMP_S",
+    "REPLICA_EJECTED",
+    "REPLICA_LEAVING",
+    "LeavingNotice",
+    "ReplicaState",
+    "ReplicaTable",
+    "spread_leaving",
+]
--- /dev/null
+++ b/jackdawsill/routing/_handlers.py
@@ -0,0 +1,62 @@
+"""Handlers that keep the replica table up to date."""
+
+from jackdawsill.core import (
+    Effect,
+    HostState,
+    LogEvent,
+    PeerMessageRead,
+    SetAccepted,
+    handles,
+)
+from jackdawsill.membership import MemberTable
+from jackdawsill.routing._log_events import REPLICA_LEAVING
+from jackdawsill.routing._messages import LeavingNotice
+from jackdawsill.routing._replica import LEAVING_TTL_S
+from jackdawsill.routing._table import ReplicaTable
+
+
+def spread_leaving(
+    state: HostState, replica: str, source: str, now: float
+) -> list[Effect]:
+    """Mark a replica as leaving, and tell peers about the first evidence."""
+    table = state.part(ReplicaTable)
+    if not table.mark_leaving(replica, now):
+        return []
+    start_id = f"{state.name}:{state.rng.getrandbits(64):016x}"
+    table.remember_notice(start_id, now)
+    notice = LeavingNotice(replica, start_id, LEAVING_TTL_S)
+    return [
+        LogEvent(REPLICA_LEAVING, {"replica": replica, "source": source}),
+        *state.part(MemberTable).broadcast(notice),
+    ]
+
+
+@handles(PeerMessageRead)
+def on_leaving_notice(
+    state: HostState, event: PeerMessageRead, now: float
+) -> list[Effect]:
+    """Stop new work on a leaving replica; pass on only the first evidence.
+
+    The first evidence alone is passed on, so a stop seen by every host at once
+    costs each link one message in each direction.
+    """
+    notice = event.message
+    if not isinstance(notice, LeavingNotice):
+        return []
+    if state.objects_ is None or notice.replica not in state.objects_.replicas:
+        return []
+    table = state.part(ReplicaTable)
+    if not table.on_notice(notice.replica, notice.start_id, notice.ttl_s, now):
+        return []
+    return [
+        LogEvent(REPLICA_LEAVING, {"replica": notice.replica, "source": "peer"}),
+        *state.part(MemberTable).broadcast(notice),
+    ]
+
+
+@handles(SetAccepted)
+def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
+    """Forget replicas that the new set does not contain."""
+    if state.objects_ is not None:
+        state.part(ReplicaTable).prune(state.objects_.replicas)
+    return []
--- a/jackdawsill/snapshots/__init__.py
+++ b/jackdawsill/snapshots/__init__.py
@@ -1,1 +1,19 @@
-"""snapshots."""
+"""Snapshots: binding of queries and what the replicas are known to serve."""
+
+from jackdawsill.snapshots._handlers import announce_servable
+from jackdawsill.snapshots._messages import ServableNotice
+from jackdawsill.snapshots._table import (
+    DECLINE_TTL_S,
+    PROBE_INTERVAL_S,
+    SERVABLE_FRACTION,
+    SnapshotTable,
+)
+
+__all__ = [
+    "DECLINE_TTL_S",
+    "PROBE_INTERVAL_S",
+    "SERVABLE_FRACTION",
+    "ServableNotice",
+    "SnapshotTable",
+    "announce_servable",
+]
--- /dev/null
+++ b/jackdawsill/snapshots/_log_events.py
@@ -0,0 +1,10 @@
+"""Log events of snapshots."""
+
+from jackdawsill.logs import register_log_event
+
+SERVABLE_CHANGED = register_log_event(
+    2300,
+    "servable_snapshot_changed",
+    "group {group} is answered from snapshot {snapshot}",
+    "the newest snapshot that the replicas of a group can serve has changed",
+)
--- /dev/null
+++ b/jackdawsill/snapshots/_table.py
@@ -0,0 +1,187 @@
+"""Table of the snapshots that replicas can serve, learned from their answers."""
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from jackdawsill.objects import ObjectSet, Snapshot
+
+# A snapshot takes new queries while this fraction of its shards has a replica
+# that is not known to decline it.
+SERVABLE_FRACTION = 0.9
+# A replica loads a new index without notice, so a decline is believed only for
+# this time; each expiry costs at most one more declined sub-request.
+DECLINE_TTL_S = 5.0
+# Time between two probing queries on a snapshot that was found not servable.
+PROBE_INTERVAL_S = 1.0
+# A probe whose query never reported an end is given up after this time.
+PROBE_TIMEOUT_S = 5.0
+
+
+@dataclass(slots=True)
+class _Observed:
+    """What this host knows about one snapshot."""
+
+    tried: bool = False
+    probe_until: float = float("-inf")
+    next_probe_at: float = float("-inf")
+    # service -> replica -> time at which the decline expires
+    declines: dict[str, dict[str, float]] = field(default_factory=dict)
+    checked_at: float = float("-inf")
+    servable: bool = True
+    changed: bool = True
+
+
+class SnapshotTable:
+    """Bind queries to snapshots and learn in band which ones are servable."""
+
+    __slots__ = ("announced_", "observed_")
+
+    def __init__(self) -> None:
+        self.observed_: dict[str, _Observed] = {}
+        self.announced_: dict[str, str] = {}
+
+    def bind(
+        self, group: str, objects: ObjectSet, now: float, exclude: Collection[str] = ()
+    ) -> Snapshot | None:
+        """Return the snapshot for a new query, or None if the group has no other."""
+        fallback = None
+        for snapshot in objects.snapshots_of(group):
+            if snapshot.name in exclude:
+                continue
+            seen = self._observed(snapshot.name)
+            if seen.tried and self._is_servable(snapshot, seen, objects, now):
+                return snapshot
+            if now >= seen.probe_until and now >= seen.next_probe_at:
+                seen.probe_until = now + PROBE_TIMEOUT_S
+                seen.next_probe_at = now + PROBE_INTERVAL_S
+                # Replicas that declined earlier are asked again by the probe.
+                seen.declines.clear()
+                seen.changed = True
+                return snapshot
+            if fallback is None:
+                fallback = snapshot
+        return fallback
+
+    def on_query_ended(self, snapshot: Snapshot, answered: bool) -> None:
+        """End the probe of a snapshot; `answered` is False for abandoned queries."""
+        seen = self.observed_.get(snapshot.name)
+        if seen is None:
+            return
+        seen.probe_until = float("-inf")
+        if answered:
+            seen.tried = True
+
+    def on_answered(self, snapshot: str, service: str, replica: str) -> None:
+        """Record that a replica answered for a snapshot."""
+        seen = self.observed_.get(snapshot)
+        if seen is None or not seen.declines:
+            return
+        declined = seen.declines.get(service)
+        if declined and declined.pop(replica, None) is not None:
+            seen.changed = True
+
+    def on_declined(
+        self,
+        snapshot: Snapshot,
+        service: str,
+        replica: str,
+        servable: Collection[str],
+        objects: ObjectSet,
+        now: float,
+    ) -> None:
+        """Record a decline and the snapshots that the replica says it serves."""
+        self._decline(snapshot.name, service, replica, now)
+        if not servable:
+            return
+        for other in objects.snapshots_of(snapshot.group):
+            if other.name == snapshot.name:
+                continue
+            if other.name in servable:
+                self.on_answered(other.name, service, replica)
+            else:
+                self._decline(other.name, service, replica, now)
+
+    def declining(self, snapshot: str, service: str, now: float) -> tuple[str, ...]:
+        """Return the replicas of a service that are known to decline a snapshot."""
+        seen = self.observed_.get(snapshot)
+        if seen is None or not seen.declines:
+            return ()
+        declined = seen.declines.get(service)
+        if not declined:
+            return ()
+        return tuple(name for name, until in declined.items() if until > now)
+
+    def newest_servable(
+        self, group: str, objects: ObjectSet, now: float
+    ) -> Snapshot | None:
+        """Return the newest snapshot of a group that was tried and is servable."""
+        for snapshot in objects.snapshots_of(group):
+            seen = self.observed_.get(snapshot.name)
+            if seen and seen.tried and self._is_servable(snapshot, seen, objects, now):
+                return snapshot
+        return None
+
+    def announce(self, group: str, objects: ObjectSet, now: float) -> Snapshot | None:
+        """Return the newest servable snapshot if peers do not know it yet."""
+        newest = self.newest_servable(group, objects, now)
+        if newest is None or self.announced_.get(group) == newest.name:
+            return None
+        self.announced_[group] = newest.name
+        return newest
+
+    def on_notice(
+        self, group: str, snapshot: str, objects: ObjectSet, now: float
+    ) -> bool:
+        """Learn from a peer that a snapshot is served; return whether it is news."""
+        for known in objects.snapshots_of(group):
+            if known.name != snapshot:
+                continue
+            seen = self._observed(snapshot)
+            # Fresh declines seen by this host take precedence over a peer.
+            if seen.tried:
+                return False
+            seen.tried = True
+            self.announced_[group] = snapshot
+            return True
+        return False
+
+    def prune(self, objects: ObjectSet) -> None:
+        """Forget snapshots that are no longer published."""
+        for name in [n for n in self.observed_ if n not in objects.snapshots]:
+            del self.observed_[name]
+        for group in [g for g in self.announced_ if g not in objects.groups]:
+            del self.announced_[group]
+
+    def _observed(self, name: str) -> _Observed:
+        seen = self.observed_.get(name)
+        if seen is None:
+            seen = self.observed_[name] = _Observed()
+        return seen
+
+    def _decline(self, name: str, service: str, replica: str, now: float) -> None:
+        seen = self._observed(name)
+        seen.declines.setdefault(service, {})[replica] = now + DECLINE_TTL_S
+        seen.changed = True
+
+    def _is_servable(
+        self, snapshot: Snapshot, seen: _Observed, objects: ObjectSet, now: float
+    ) -> bool:
+        if not seen.declines:
+            return True
+        # The check visits all shards, so its result is kept until a decline is
+        # recorded or withdrawn, or one may have expired.
+        if not seen.changed and now - seen.checked_at < PROBE_INTERVAL_S:
+            return seen.servable
+        seen.checked_at = now
+        seen.changed = False
+        n_shards = len(snapshot.shards)
+        n_declined = 0
+        for shard in snapshot.shards:
+            declined = self.declining(snapshot.name, shard.service, now)
+            if declined:
+                replicas = objects.replicas_of(shard.service)
+                n_declined += all(r.name in declined for r in replicas)
+        seen.servable = n_shards - n_declined >= SERVABLE_FRACTION * n_shards
+        if not seen.servable:
+            seen.next_probe_at = max(seen.next_probe_at, now + PROBE_INTERVAL_S)
+        return seen.servable
