Add the member table with links, evidence and digest exchange

Cause: hosts need a common view of live hosts without shared state. Change: jackdawsill/membership holds records ordered by refutation count, a handshake with a keyed hash over both nonces, links to all hosts of a fleet of up to 18 and to six monitors across failure domains in larger ones, evidence of two hosts, refutation, bucketed digest exchange and tombstones. core gets gates, so that messages of peers that did not prove themselves reach no component.

--- a/jackdawsill/core/__init__.py
+++ b/jackdawsill/core/__init__.py
@@ -45,10 +45,19 @@
     Tick,
     TimerFired,
 )
-from jackdawsill.core._reducer import HANDLERS, PAUSE_LIMIT_S, TICK_S, handles, reduce
+from jackdawsill.core._reducer import (
+    GATES,
+    HANDLERS,
+    PAUSE_LIMIT_S,
+    TICK_S,
+    gates,
+    handles,
+    reduce,
+)
 from jackdawsill.core._state import HostState
 
 __all__ = [
+    "GATES",
     "HANDLERS",
     "NOT_RUN_KINDS",
     "PAUSE_LIMIT_S",
@@ -94,6 +103,7 @@
     "SubFailed",
     "Tick",
     "TimerFired",
+    "gates",
     "handles",
     "reduce",
 ]
--- a/jackdawsill/core/_reducer.py
+++ b/jackdawsill/core/_reducer.py
@@ -16,7 +16,10 @@
 E = TypeVar("E", bound=Event)
 Handler = Callable[["HostState", E, float], list[Effect]]
 
+Gate = Callable[["HostState", E, float], bool]
+
 HANDLERS: dict[type[Event], list[Handler]] = {}
+GATES: dict[type[Event], list[Gate]] = {}
 
 
 def handles(event_type: type[E]) -> Callable[[Handler], Handler]:
@@ -29,6 +32,19 @@
     return decorate
 
 
+def gates(event_type: type[E]) -> Callable[[Gate], Gate]:
+    """Return a decorator that registers a gate of `event_type`.
+
+    An event that a gate does not let pass reaches no handler.
+    """
+
+    def decorate(gate: Gate) -> Gate:
+        GATES.setdefault(event_type, []).append(gate)
+        return gate
+
+    return decorate
+
+
 def reduce(state: "HostState", event: Event, now: float) -> list[Effect]:
     """Apply `event` to `state` and return the effects to carry out in order."""
     pending: deque[Event] = deque()
@@ -42,6 +58,8 @@
     effects: list[Effect] = []
     while pending:
         current = pending.popleft()
+        if not all(gate(state, current, now) for gate in GATES.get(type(current), ())):
+            continue
         for handler in HANDLERS.get(type(current), ()):
             for effect in handler(state, current, now):
                 if isinstance(effect, Raise):
--- a/jackdawsill/membership/__init__.py
+++ b/jackdawsill/membership/__init__.py
@@ -1,5 +1,56 @@
 """Membership: known hosts, links between them and evidence of failures."""
 
-from jackdawsill.membership._table import Member, MemberTable
+from jackdawsill.membership import _handlers  # noqa: F401 - registers the handlers
+from jackdawsill.membership._errors import HandshakeRefused, InvalidMemberTable
+from jackdawsill.membership._events import PeerDown, PeerUp
+from jackdawsill.membership._messages import (
+    DigestDetail,
+    DigestOffer,
+    DigestReply,
+    Evidence,
+    EvidenceItem,
+    Hello,
+    HelloProof,
+    Leave,
+    MemberChange,
+    MemberRecord,
+    Ping,
+    Pong,
+    RecordRequest,
+    Refutation,
+    Tombstone,
+)
+from jackdawsill.membership._model import Advert, Member, MemberState
+from jackdawsill.membership._rendezvous import choose_across_domains, rendezvous_score
+from jackdawsill.membership._table import MemberTable, check_member_table
+from jackdawsill.membership._upkeep import Upkeep
 
-__all__ = ["Member", "MemberTable"]
+__all__ = [
+    "Advert",
+    "DigestDetail",
+    "DigestOffer",
+    "DigestReply",
+    "Evidence",
+    "EvidenceItem",
+    "HandshakeRefused",
+    "Hello",
+    "HelloProof",
+    "InvalidMemberTable",
+    "Leave",
+    "Member",
+    "MemberChange",
+    "MemberRecord",
+    "MemberState",
+    "MemberTable",
+    "PeerDown",
+    "PeerUp",
+    "Ping",
+    "Pong",
+    "RecordRequest",
+    "Refutation",
+    "Tombstone",
+    "Upkeep",
+    "check_member_table",
+    "choose_across_domains",
+    "rendezvous_score",
+]
--- /dev/null
+++ b/jackdawsill/membership/_messages.py
@@ -0,0 +1,143 @@
+"""Messages of membership between hosts."""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from jackdawsill.peers import PeerMessage, register_message
+
+
+class MemberRecord(NamedTuple):
+    """One member as it travels; `state` is a `MemberState`, never LOST."""
+
+    incarnation: str
+    name: str
+    address: str
+    failure_domain: str
+    refutation: int
+    state: int
+
+
+class EvidenceItem(NamedTuple):
+    """A report that `reporter` gets no answer from `suspect`."""
+
+    suspect: str
+    refutation: int
+    reporter: str
+
+
+@register_message("hello")
+@dataclass(slots=True, frozen=True)
+class Hello(PeerMessage):
+    """First message of each side of a link; `nonce` is new for each link."""
+
+    incarnation: str
+    name: str
+    address: str
+    failure_domain: str
+    refutation: int
+    nonce: bytes
+    brief: bool = False  # opened for one exchange, not kept as a link
+
+
+@register_message("hello_proof")
+@dataclass(slots=True, frozen=True)
+class HelloProof(PeerMessage):
+    """Keyed hash over the sender's `Hello` and the receiver's nonce."""
+
+    authenticator: bytes
+
+
+@register_message("ping")
+@dataclass(slots=True, frozen=True)
+class Ping(PeerMessage):
+    """Ask for a `Pong`."""
+
+
+@register_message("pong")
+@dataclass(slots=True, frozen=True)
+class Pong(PeerMessage):
+    """Answer a `Ping`."""
+
+
+@register_message("member_change")
+@dataclass(slots=True, frozen=True)
+class MemberChange(PeerMessage):
+    """Records of members that joined, left, were replaced or refuted evidence."""
+
+    records: tuple[MemberRecord, ...]
+
+
+@register_message("evidence")
+@dataclass(slots=True, frozen=True)
+class Evidence(PeerMessage):
+    """Reports of hosts that get no answer from other hosts."""
+
+    items: tuple[EvidenceItem, ...]
+
+
+@register_message("refutation")
+@dataclass(slots=True, frozen=True)
+class Refutation(PeerMessage):
+    """The sender is alive; the count makes evidence with a lower one void."""
+
+    record: MemberRecord
+
+
+@register_message("tombstone")
+@dataclass(slots=True, frozen=True)
+class Tombstone(PeerMessage):
+    """The tickets of a stopped incarnation were handed to `successor`."""
+
+    incarnation: str
+    successor: str
+    remaining_s: float  # a copy never outlives the original
+
+
+@register_message("digest_offer")
+@dataclass(slots=True, frozen=True)
+class DigestOffer(PeerMessage):
+    """Digest of the sender's live members and tombstones, and its generation."""
+
+    digest: int
+    tombstone_digest: int
+    generation: int
+    set_digest: str
+    confirmed: bool
+
+
+@register_message("digest_reply")
+@dataclass(slots=True, frozen=True)
+class DigestReply(PeerMessage):
+    """Answer to an offer; `buckets` is empty if the digests are equal."""
+
+    buckets: tuple[int, ...]
+    holds_sender: bool  # the offering host is live in the replying host's table
+    generation: int
+    set_digest: str
+    confirmed: bool
+
+
+@register_message("digest_detail")
+@dataclass(slots=True, frozen=True)
+class DigestDetail(PeerMessage):
+    """Live incarnations and refutation counts in the buckets that differ."""
+
+    buckets: tuple[int, ...]
+    live: dict[str, int]
+
+
+@register_message("record_request")
+@dataclass(slots=True, frozen=True)
+class RecordRequest(PeerMessage):
+    """Ask for the records of incarnations that the sender does not know."""
+
+    incarnations: tuple[str, ...]
+
+
+@register_message("leave")
+@dataclass(slots=True, frozen=True)
+class Leave(PeerMessage):
+    """The sender stops; it opens no links and refutes nothing any more."""
+
+    incarnation: str
+    refutation: int
--- a/jackdawsill/membership/_table.py
+++ b/jackdawsill/membership/_table.py
@@ -1,34 +1,115 @@
 """Table of the hosts that this host knows."""
 
-from dataclasses import dataclass
+from collections import deque
+from collections.abc import Iterable
 from typing import Any
 
-from jackdawsill.core import SendPeer
+import xxhash
 
+from jackdawsill.core import Count, Effect, LogEvent, SendPeer
+from jackdawsill.membership import _log_events as log
+from jackdawsill.membership._errors import InvalidMemberTable
+from jackdawsill.membership._evidence import EVIDENCE_NEEDED, REPORT_S, EvidenceBook
+from jackdawsill.membership._links import LinkBook
+from jackdawsill.membership._messages import (
+    DigestOffer,
+    EvidenceItem,
+    Leave,
+    MemberRecord,
+    Refutation,
+    Tombstone,
+)
+from jackdawsill.membership._model import Advert, Applied, Entry, Member, MemberState
+from jackdawsill.membership._tombstones import TOMBSTONE_S, Tombstones
 
-@dataclass(slots=True, frozen=True)
-class Member:
-    """One process incarnation of a host."""
+LOST_RETENTION_S = 3600.0
+# A difference is found bucket by bucket: with 730 hosts one bucket names 12 hosts,
+# so one changed host costs under 1 KB instead of a list of all hosts.
+N_BUCKETS = 64
+# A reporter whose evidence was refuted still has no path to the suspect and would
+# cause one refutation after another.
+REFUTED_REPORT_S = 10.0
 
-    incarnation: str
-    name: str
-    address: str  # host:peer_port
-    failure_domain: str
+
+def check_member_table(table: "MemberTable") -> None:
+    """Raise `InvalidMemberTable` if the table's own member is incomplete."""
+    own = table.self_member
+    for name in ("incarnation", "name", "address", "failure_domain"):
+        if not getattr(own, name):
+            raise InvalidMemberTable(f"the own member has no {name}")
+
+
+def _hash(*fields: object) -> int:
+    return xxhash.xxh3_64_intdigest(
+        "\x00".join(str(field) for field in fields).encode()
+    )
 
 
 class MemberTable:
-    """Own the known members, and the links to some of them."""
+    """Own the known members, and the links to some of them.
+
+    A table without `fleet_key` holds members but opens no links and answers none.
+    """
 
-    __slots__ = ("links_", "members_", "self_member")
+    __slots__ = (
+        "advert_",
+        "buckets_",
+        "confirmed_",
+        "entries_",
+        "evidence_",
+        "fleet_key",
+        "leaving_",
+        "links_",
+        "live_",
+        "live_version_",
+        "members_",
+        "net_",
+        "notes_",
+        "outbox_evidence_",
+        "outbox_records_",
+        "refutation_",
+        "seeds",
+        "self_member",
+        "tombstones_",
+        "version_",
+    )
 
-    def __init__(self, self_member: Member) -> None:
+    def __init__(
+        self,
+        self_member: Member,
+        fleet_key: bytes = b"",
+        seeds: Iterable[str] = (),
+    ) -> None:
         self.self_member = self_member
-        self.members_: dict[str, Member] = {self_member.incarnation: self_member}
+        self.fleet_key = fleet_key
+        self.seeds = tuple(seeds)
+        self.members_: dict[str, Member] = {}
+        self.entries_: dict[str, Entry] = {}
         self.links_: dict[str, int] = {}
+        self.live_: tuple[Member, ...] = ()
+        self.live_version_ = -1
+        self.version_ = 0
+        self.buckets_ = [0] * N_BUCKETS
+        self.refutation_ = 0
+        self.leaving_ = False
+        self.confirmed_ = False  # a peer confirmed this host since its last pause
+        self.advert_ = Advert()
+        self.evidence_ = EvidenceBook()
+        self.tombstones_ = Tombstones()
+        self.net_ = LinkBook()
+        self.outbox_records_: deque[MemberRecord] = deque()
+        self.outbox_evidence_: deque[EvidenceItem] = deque()
+        self.notes_: list[Effect] = []
+        self._add(self_member, 0, 0.0)
+
+    # Views for other components.
 
     def live_hosts(self) -> tuple[Member, ...]:
         """Return the members not held lost, this host included."""
-        return tuple(self.members_.values())
+        if self.live_version_ != self.version_:
+            self.live_ = tuple(self.members_.values())
+            self.live_version_ = self.version_
+        return self.live_
 
     def link_to(self, incarnation: str) -> int | None:
         """Return the id of the open link to a member."""
@@ -43,5 +124,237 @@
         return incarnation not in self.members_
 
     def successor_of(self, incarnation: str) -> str | None:
-        """Return the incarnation that took over the tickets of a stopped one."""
-        return None
+        """Return the incarnation that holds the tickets of a stopped one."""
+        return self.tombstones_.successor_of(incarnation)
+
+    def record_successor(
+        self, incarnation: str, successor: str, now: float
+    ) -> list[Effect]:
+        """Record who took over tickets, and return the effects that spread it."""
+        message = Tombstone(incarnation, successor, TOMBSTONE_S)
+        if not self.tombstones_.add(message, now):
+            return []
+        return list(self.broadcast(message))
+
+    def leave(self) -> list[Effect]:
+        """Return the effects that tell all peers of this host's planned stop."""
+        self.leaving_ = True
+        return list(
+            self.broadcast(Leave(self.self_member.incarnation, self.refutation_))
+        )
+
+    # Records.
+
+    def record_of(self, incarnation: str) -> MemberRecord:
+        """Return the record of a known incarnation as it travels."""
+        entry = self.entries_[incarnation]
+        member = entry.member
+        return MemberRecord(
+            incarnation,
+            member.name,
+            member.address,
+            member.failure_domain,
+            entry.refutation,
+            int(entry.state),
+        )
+
+    def apply(self, record: MemberRecord, now: float) -> Applied:
+        """Take in a record of a live or gone member and queue it for the links."""
+        entry = self.entries_.get(record.incarnation)
+        alive = record.state == MemberState.ALIVE
+        if entry is None:
+            if not alive:
+                return Applied.OLD
+            member = Member(*record[:4])
+            self._add(member, record.refutation, now)
+            self._note(log.MEMBER_JOINED, member)
+        elif (record.refutation, record.state) <= (entry.refutation, entry.state):
+            contested = alive and entry.state != MemberState.ALIVE
+            return Applied.CONTESTED if contested else Applied.OLD
+        elif entry.member is self.self_member:
+            # Only this host raises its own count; a higher one was forged or lost.
+            self.refute(record.refutation)
+            return Applied.CHANGED
+        else:
+            back = alive and entry.state != MemberState.ALIVE
+            self._change(entry, record.refutation, MemberState(record.state), now)
+            if back:
+                self._note(log.MEMBER_BACK, entry.member)
+            elif not alive:
+                self._note(log.MEMBER_GONE, entry.member)
+        self.outbox_records_.append(self.record_of(record.incarnation))
+        return Applied.CHANGED
+
+    def raise_refutation(self, incarnation: str, refutation: int, now: float) -> None:
+        """Take in a higher count of a known incarnation; it was alive to raise it."""
+        record = self.record_of(incarnation)._replace(
+            refutation=refutation, state=int(MemberState.ALIVE)
+        )
+        self.apply(record, now)
+
+    def on_handshake(self, member: Member, refutation: int, now: float) -> Applied:
+        """Take in a member that proved itself; its address has one incarnation."""
+        for other in list(self.members_.values()):
+            if (
+                other.address == member.address
+                and other.incarnation != member.incarnation
+                and other is not self.self_member
+            ):
+                self.declare_gone(other.incarnation, now)
+        record = MemberRecord(
+            member.incarnation,
+            member.name,
+            member.address,
+            member.failure_domain,
+            refutation,
+            int(MemberState.ALIVE),
+        )
+        return self.apply(record, now)
+
+    def declare_gone(self, incarnation: str, now: float) -> None:
+        """Hold a member gone for good and queue that for the links."""
+        entry = self.entries_.get(incarnation)
+        if entry is None or entry.member is self.self_member:
+            return
+        if entry.state != MemberState.GONE:
+            self._change(entry, entry.refutation, MemberState.GONE, now)
+            self._note(log.MEMBER_GONE, entry.member)
+            self.outbox_records_.append(self.record_of(incarnation))
+
+    def refute(self, refutation: int) -> None:
+        """Answer evidence about this host with a higher count."""
+        if self.leaving_ or refutation < self.refutation_:
+            return
+        own = self.entries_[self.self_member.incarnation]
+        self.refutation_ = refutation + 1
+        self._change(own, self.refutation_, MemberState.ALIVE, own.changed_at)
+        record = self.record_of(self.self_member.incarnation)
+        self.notes_ += self.broadcast(Refutation(record))
+        self.notes_.append(LogEvent(log.REFUTED, {"refutation": self.refutation_}))
+        self.notes_.append(Count("membership_refutations"))
+
+    # Evidence.
+
+    def report(self, incarnation: str, now: float) -> None:
+        """Record that this host gets no answer from a member."""
+        entry = self.entries_.get(incarnation)
+        if entry is None or entry.state != MemberState.ALIVE:
+            return
+        same = entry.reported_refutation == entry.refutation
+        wait_s = REPORT_S if same else REFUTED_REPORT_S
+        if now - entry.reported_at < wait_s:
+            return
+        entry.reported_at = now
+        entry.reported_refutation = entry.refutation
+        own = self.self_member.incarnation
+        self.evidence_.add(incarnation, own, now)
+        # Two other reports are enough for everyone; a third is not sent.
+        if self.evidence_.is_reporter(incarnation, own):
+            self.outbox_evidence_.append(
+                EvidenceItem(incarnation, entry.refutation, own)
+            )
+
+    def on_evidence(self, item: EvidenceItem, now: float) -> bool:
+        """Take in a report; tell whether the sender missed a refutation."""
+        if item.suspect == self.self_member.incarnation:
+            self.refute(item.refutation)
+            return False
+        entry = self.entries_.get(item.suspect)
+        if entry is None or item.reporter not in self.members_:
+            return False
+        if item.refutation < entry.refutation:
+            return True
+        if item.refutation > entry.refutation:
+            # The reporter has seen a refutation that did not arrive here.
+            self.raise_refutation(item.suspect, item.refutation, now)
+        if entry.state == MemberState.ALIVE and self.evidence_.add(
+            item.suspect, item.reporter, now
+        ):
+            self.outbox_evidence_.append(item)
+        return False
+
+    def conclude(self, heard: set[str], now: float) -> list[str]:
+        """Return the members that the evidence now shows as lost.
+
+        Members in `heard` answered this host lately and are kept.
+        """
+        self.evidence_.expire(now)
+        lost = []
+        n_others = len(self.members_) - 1
+        for suspect in list(self.evidence_.reports_):
+            entry = self.entries_.get(suspect)
+            if entry is None or entry.state != MemberState.ALIVE:
+                self.evidence_.clear(suspect)
+                continue
+            # A host cut off from all others finds nobody who could report too.
+            n_witnesses = n_others - len(self.evidence_.reports_)
+            alone = n_witnesses <= 0 and not heard
+            supported = entry.member.address in self.net_.delisted_
+            n_needed = 1 if alone or supported else EVIDENCE_NEEDED
+            if suspect not in heard and self.evidence_.convincing(
+                suspect, n_needed, now
+            ):
+                lost.append(suspect)
+        for suspect in lost:
+            self._declare_lost(suspect, now)
+        return lost
+
+    def _declare_lost(self, incarnation: str, now: float) -> None:
+        entry = self.entries_[incarnation]
+        n_reports = self.evidence_.n_reports(incarnation)
+        self._change(entry, entry.refutation, MemberState.LOST, now)
+        self._note(log.MEMBER_LOST, entry.member, n_reports=n_reports)
+        self.notes_.append(Count("membership_lost"))
+
+    # Digest and retention.
+
+    def digest_offer(self) -> DigestOffer:
+        """Return the digest of the live members and the generation."""
+        digest = xxhash.xxh3_64_intdigest(repr(self.buckets_).encode())
+        advert = self.advert_
+        return DigestOffer(
+            digest,
+            self.tombstones_.digest_,
+            advert.generation,
+            advert.set_digest,
+            advert.confirmed,
+        )
+
+    def forget_expired(self, now: float) -> None:
+        """Drop lost and gone members, and tombstones, after their retention."""
+        for incarnation, entry in list(self.entries_.items()):
+            expired = now - entry.changed_at > LOST_RETENTION_S
+            if entry.state != MemberState.ALIVE and expired:
+                del self.entries_[incarnation]
+        self.tombstones_.expire(now)
+
+    def _add(self, member: Member, refutation: int, now: float) -> None:
+        bucket = _hash(member.incarnation) % N_BUCKETS
+        entry = Entry(member, refutation, MemberState.ALIVE, now, bucket)
+        self.entries_[member.incarnation] = entry
+        self.members_[member.incarnation] = member
+        self.buckets_[bucket] ^= _hash(member.incarnation, refutation)
+        self.version_ += 1
+
+    def _change(
+        self, entry: Entry, refutation: int, state: MemberState, now: float
+    ) -> None:
+        incarnation = entry.member.incarnation
+        if entry.state == MemberState.ALIVE:
+            self.buckets_[entry.bucket] ^= _hash(incarnation, entry.refutation)
+        if state == MemberState.ALIVE:
+            self.buckets_[entry.bucket] ^= _hash(incarnation, refutation)
+        if state != entry.state:
+            entry.changed_at = now
+            self.version_ += 1
+            if state == MemberState.ALIVE:
+                self.members_[incarnation] = entry.member
+            else:
+                self.members_.pop(incarnation, None)
+        entry.refutation, entry.state = refutation, state
+        self.evidence_.clear(incarnation)
+
+    def _note(self, number: int, member: Member, **fields: Any) -> None:
+        shown = {"incarnation": member.incarnation, "name": member.name}
+        fields = {**shown, "address": member.address, **fields}
+        self.notes_.append(LogEvent(number, fields))
--- /dev/null
+++ b/jackdawsill/membership/tests/network.py
@@ -0,0 +1,168 @@
+"""In-memory network of several hosts, with loss, duplication, cuts and pauses."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from jackdawsill import core
+from jackdawsill.core import TICK_S, HostState, reduce
+from jackdawsill.membership import Member, MemberTable
+
+Part = Callable[[], Any]
+
+
+@dataclass
+class Node:
+    """One process on the network."""
+
+    state: HostState
+    member: Member
+    alive: bool = True
+    wakes_at: float = 0.0
+    log: list[int] = field(default_factory=list)
+    counts: dict[str, float] = field(default_factory=dict)
+    streams: dict[int, tuple["Node", int]] = field(default_factory=dict)
+    last_at: dict[int, float] = field(default_factory=dict)
+
+    @property
+    def table(self) -> MemberTable:
+        return self.state.part(MemberTable)
+
+
+class FakeNetwork:
+    """Run hosts in virtual time; a stream keeps its order unless it loses messages."""
+
+    def __init__(self, seed: int, loss: float = 0.0, duplication: float = 0.0) -> None:
+        self.rng = random.Random(seed)
+        self.loss, self.duplication = loss, duplication
+        self.now = 1000.0
+        self.nodes: list[Node] = []
+        self.queue: list[tuple[float, int, Node, Any]] = []
+        self.serial = itertools.count()
+        self.sides: dict[str, int] = {}  # address -> side of a partition
+        self.on_read: Callable[[Node, Any], Any] = lambda node, effect: None
+        self.on_send: Callable[[Node, Any], None] = lambda node, message: None
+        self.listed = True  # the platform list names every live host
+        self.extra_entries: list[core.HostEntry] = []
+
+    def add(
+        self, address: str, domain: str, parts: tuple[Part, ...] = (), **table: Any
+    ) -> Node:
+        """Start a process at an address; an earlier one there is dead."""
+        for node in self.nodes:
+            if node.member.address == address:
+                self.kill(node)
+        incarnation = f"{self.rng.getrandbits(128):032x}"
+        name = f"{address}-{len(self.nodes)}"
+        state = HostState(name, domain, random.Random(self.rng.random()))
+        member = Member(incarnation, name, address, domain)
+        state.attach(MemberTable(member, **{"fleet_key": b"key", **table}))
+        for part in parts:
+            state.attach(part())
+        node = Node(state, member)
+        self.nodes.append(node)
+        self.post(self.now + self.rng.uniform(0, TICK_S), node, core.Tick())
+        return node
+
+    def live(self) -> list[Node]:
+        return [node for node in self.nodes if node.alive]
+
+    def post(self, at: float, node: Node, event: Any) -> None:
+        heapq.heappush(self.queue, (at, next(self.serial), node, event))
+
+    def kill(self, node: Node) -> None:
+        """End a process; its machine closes the streams."""
+        node.alive = False
+        for peer, link_id in node.streams.values():
+            self.post(self.now + 0.002, peer, core.LinkClosed(link_id, "", "reset"))
+
+    def pause(self, node: Node, duration_s: float) -> None:
+        node.wakes_at = self.now + duration_s
+
+    def reachable(self, a: Node, b: Node) -> bool:
+        sides = self.sides
+        same = sides.get(a.member.address, 0) == sides.get(b.member.address, 0)
+        return same and a.alive and b.alive
+
+    def run(self, duration_s: float, until: Callable[[], bool] | None = None) -> bool:
+        """Run for a time or until a condition holds at a tick; return the latter."""
+        end = self.now + duration_s
+        next_check = self.now
+        while self.queue and self.queue[0][0] <= end:
+            if until is not None and self.queue[0][0] >= next_check:
+                self.now = self.queue[0][0]
+                next_check = self.now + TICK_S
+                if until():
+                    return True
+            at, serial, node, event = heapq.heappop(self.queue)
+            self.now = at
+            if not node.alive:
+                continue
+            if at < node.wakes_at:
+                heapq.heappush(self.queue, (node.wakes_at, serial, node, event))
+                continue
+            if isinstance(event, core.LinkClosed):
+                node.streams.pop(event.link_id, None)
+            for effect in reduce(node.state, event, at):
+                self.carry_out(node, effect)
+            if isinstance(event, core.Tick):
+                self.post(at + TICK_S, node, event)
+        self.now = end
+        return until() if until is not None else False
+
+    def carry_out(self, node: Node, effect: Any) -> None:
+        delay_s = self.rng.uniform(0.0005, 0.02)
+        match effect:
+            case core.OpenLink(link_id, address):
+                self.open(node, link_id, address, delay_s)
+            case core.CloseLink(link_id):
+                peer, peer_link = node.streams.get(link_id, (None, 0))
+                self.post(self.now, node, core.LinkClosed(link_id, ""))
+                if peer is not None and self.reachable(node, peer):
+                    at = max(node.last_at.get(link_id, 0), self.now) + delay_s
+                    self.post(at, peer, core.LinkClosed(peer_link, "", "eof"))
+            case core.SendPeer(link_id, message):
+                self.send(node, link_id, message, delay_s)
+            case core.ReadHostList() if self.listed:
+                entries = [core.HostEntry(*e) for e in self.entries()]
+                listed = core.HostListRead((*entries, *self.extra_entries))
+                self.post(self.now + delay_s, node, listed)
+            case core.ReadConfig():
+                answer = self.on_read(node, effect)
+                if answer is not None:
+                    self.post(self.now + delay_s, node, answer)
+            case core.LogEvent(number):
+                node.log.append(number)
+            case core.Count(name, value):
+                node.counts[name] = node.counts.get(name, 0) + value
+
+    def entries(self) -> list[tuple[str, str, str]]:
+        members = [node.member for node in self.live()]
+        return [(m.name, m.address, m.failure_domain) for m in members]
+
+    def open(self, node: Node, link_id: int, address: str, delay_s: float) -> None:
+        peers = [n for n in self.live() if n.member.address == address]
+        if not peers or not self.reachable(node, peers[0]):
+            refused = core.LinkClosed(link_id, address, "refused")
+            self.post(self.now + (delay_s if not peers else 5.0), node, refused)
+            return
+        peer, peer_link = peers[0], peers[0].state.next_id()
+        node.streams[link_id] = (peer, peer_link)
+        peer.streams[peer_link] = (node, link_id)
+        at = self.now + delay_s
+        self.post(at, peer, core.LinkOpened(peer_link, "ephemeral", False))
+        self.post(at, node, core.LinkOpened(link_id, address, True))
+
+    def send(self, node: Node, link_id: int, message: Any, delay_s: float) -> None:
+        self.on_send(node, message)
+        peer, peer_link = node.streams.get(link_id, (None, 0))
+        if peer is None or not self.reachable(node, peer):
+            return
+        at = max(self.now + delay_s, node.last_at.get(link_id, 0.0))
+        node.last_at[link_id] = at
+        n_copies = 1 + (self.rng.random() < self.duplication)
+        for _ in range(0 if self.rng.random() < self.loss else n_copies):
+            self.post(at, peer, core.PeerMessageRead(peer_link, message))
