Add the spread of configuration among hosts

Cause: an accepted set must be in force everywhere within 5 s and never revert, while the configuration service can be down or stale. Change: jackdawsill/spread watches and polls the manifest, pushes generation notices, pulls the manifest and the missing values from peers in chunks, checks whole sets, keeps its own of two sets under one generation, and decides when a starting host knows enough to serve.

--- a/jackdawsill/membership/_exchange.py
+++ b/jackdawsill/membership/_exchange.py
@@ -218,7 +218,8 @@
         link.peer in table.members_,
         own.generation,
         own.set_digest,
-        own.confirmed,
+        table.advert_.confirmed,
+        message.n_pauses,
     )
     return [*effects, SendPeer(link.link_id, reply)]
 
@@ -230,7 +231,7 @@
     """Name the live members in the buckets that differ."""
     effects: list[Effect] = []
     if message.holds_sender:
-        table.confirmed_ = True
+        table.confirmed_ |= message.n_pauses == table.n_pauses_
     else:
         own = table.record_of(table.self_member.incarnation)
         effects.append(SendPeer(link.link_id, MemberChange((own,))))
--- a/jackdawsill/membership/_handlers.py
+++ b/jackdawsill/membership/_handlers.py
@@ -154,6 +154,7 @@
     if table is None:
         return []
     table.confirmed_ = False
+    table.n_pauses_ += 1
     table.net_.on_pause(now)
     table.evidence_.withdraw_all(table.self_member.incarnation)
     _upkeep(state).reached_at_ = now
--- a/jackdawsill/membership/_messages.py
+++ b/jackdawsill/membership/_messages.py
@@ -102,7 +102,7 @@
     tombstone_digest: int
     generation: int
     set_digest: str
-    confirmed: bool
+    n_pauses: int  # echoed, so that a reply from before a pause confirms nothing
 
 
 @register_message("digest_reply")
@@ -114,7 +114,8 @@
     holds_sender: bool  # the offering host is live in the replying host's table
     generation: int
     set_digest: str
-    confirmed: bool
+    confirmed: bool  # the replying host's generation is confirmed
+    n_pauses: int
 
 
 @register_message("digest_detail")
--- a/jackdawsill/membership/_table.py
+++ b/jackdawsill/membership/_table.py
@@ -63,6 +63,7 @@
         "live_",
         "live_version_",
         "members_",
+        "n_pauses_",
         "net_",
         "notes_",
         "outbox_evidence_",
@@ -93,6 +94,7 @@
         self.refutation_ = 0
         self.leaving_ = False
         self.confirmed_ = False  # a peer confirmed this host since its last pause
+        self.n_pauses_ = 0
         self.advert_ = Advert()
         self.evidence_ = EvidenceBook()
         self.tombstones_ = Tombstones()
@@ -317,7 +319,7 @@
             self.tombstones_.digest_,
             advert.generation,
             advert.set_digest,
-            advert.confirmed,
+            self.n_pauses_,
         )
 
     def forget_expired(self, now: float) -> None:
--- a/jackdawsill/spread/__init__.py
+++ b/jackdawsill/spread/__init__.py
@@ -1,5 +1,40 @@
 """Spread of configuration: newest accepted set on all hosts, never reverting."""
 
-from jackdawsill.spread._spread import ConfigSpread
+from jackdawsill.spread import _handlers  # noqa: F401 - registers the handlers
+from jackdawsill.spread._errors import InvalidManifest, SetNotAcceptable
+from jackdawsill.spread._joining import Joining
+from jackdawsill.spread._manifest import (
+    MANIFEST_KEY,
+    Manifest,
+    ValueRef,
+    parse_manifest,
+)
+from jackdawsill.spread._messages import (
+    CHUNK_BYTES,
+    GenerationNotice,
+    ManifestReply,
+    ManifestRequest,
+    ValueChunk,
+    ValueRequest,
+)
+from jackdawsill.spread._service import ServiceReader
+from jackdawsill.spread._spread import ConfigSpread, LoadBundle
 
-__all__ = ["ConfigSpread"]
+__all__ = [
+    "CHUNK_BYTES",
+    "MANIFEST_KEY",
+    "ConfigSpread",
+    "GenerationNotice",
+    "InvalidManifest",
+    "Joining",
+    "LoadBundle",
+    "Manifest",
+    "ManifestReply",
+    "ManifestRequest",
+    "ServiceReader",
+    "SetNotAcceptable",
+    "ValueChunk",
+    "ValueRef",
+    "ValueRequest",
+    "parse_manifest",
+]
