Add tickets for requests that are not idempotent

Cause: routes with repeatable = false need at-most-once execution. Conclusion: first version without tests.

--- a/jackdawsill/tickets/__init__.py
+++ b/jackdawsill/tickets/__init__.py
@@ -1,5 +1,18 @@
 """At-most-once execution of requests that are not idempotent."""
 
+from jackdawsill.tickets import _handlers as _handlers
+from jackdawsill.tickets._messages import (
+    TicketForward,
+    TicketHandover,
+    TicketHandoverAck,
+    TicketReply,
+)
 from jackdawsill.tickets._office import TicketOffice
 
-__all__ = ["TicketOffice"]
+__all__ = [
+    "TicketForward",
+    "TicketHandover",
+    "TicketHandoverAck",
+    "TicketOffice",
+    "TicketReply",
+]
--- /dev/null
+++ b/jackdawsill/tickets/_forwarding.py
@@ -0,0 +1,203 @@
+"""Forwards of tickets to the host that decides on them."""
+
+from jackdawsill.core import (
+    CloseLink,
+    Count,
+    Effect,
+    HostState,
+    LinkClosed,
+    OpenLink,
+    SendPeer,
+    SetTimer,
+    TimerFired,
+)
+from jackdawsill.exceptions import ERRORS, JackdawsillError
+from jackdawsill.membership import Member, MemberTable
+from jackdawsill.tickets import _errors as errors
+from jackdawsill.tickets._ledger import ANSWERED, Record
+from jackdawsill.tickets._messages import TicketForward, TicketReply
+from jackdawsill.tickets._runs import Demand, LocalCall, RemoteWaiter
+
+# Time between two attempts to reach an issuer; some attempts fit into the default
+# deadline of 340 ms, and a link needs about one round trip of 16 ms to open.
+FORWARD_RETRY_S = 0.025
+# A link that is not usable by then is closed, and another one is opened.
+OPEN_TIMEOUT_S = 1.0
+DEADLINE_TIMER = "tickets:deadline:"
+RETRY_TIMER = "tickets:retry:"
+
+
+class ForwardMixin:
+    """Forward calls to their issuer and reply to forwards of other hosts."""
+
+    __slots__ = ()
+
+    def _route_call(
+        self, state: HostState, call: LocalCall, now: float
+    ) -> list[Effect]:
+        """Decide on a call here, or send it to the host that decides."""
+        ledger = None if self.closed_ else self.ledgers_.get(call.incarnation)
+        if ledger is not None:
+            demand = Demand(
+                call.request_id,
+                call.route,
+                call.caller,
+                call.body,
+                call.ticket,
+                call.deadline_at,
+            )
+            return self._decide(state, ledger, demand, call.query_id, now)
+        members = state.part(MemberTable)
+        target = self._decider(members, call.incarnation)
+        # A host that was never the issuer of this ticket may have been named as
+        # successor before its handover message arrived; it asks itself again.
+        if target != members.self_member.incarnation:
+            if target is None or members.is_lost(target):
+                exc = errors.TicketOutcomeUnknown("the issuer of the ticket is lost")
+                return self._reply(state, call.query_id, exc, now)
+            effects = self._forward(state, call, target, now)
+        else:
+            effects = []
+        timer = SetTimer(f"{RETRY_TIMER}{call.query_id}", now + FORWARD_RETRY_S)
+        return effects if call.link_id is not None else [*effects, timer]
+
+    def _decider(self, members: MemberTable, incarnation: str) -> str | None:
+        """Return the incarnation that decides now, after any handovers."""
+        seen = {incarnation}
+        while True:
+            successor = members.successor_of(incarnation)
+            if successor is None:
+                if incarnation == members.self_member.incarnation and self.closed_:
+                    return self.successor_
+                return incarnation
+            if successor in seen:
+                return None
+            seen.add(successor)
+            incarnation = successor
+
+    def _forward(
+        self, state: HostState, call: LocalCall, target: str, now: float
+    ) -> list[Effect]:
+        """Send a call over the link to its issuer, or open a link first."""
+        members = state.part(MemberTable)
+        link_id = members.link_to(target)
+        if link_id is None:
+            return self._open_link(state, members, target, now)
+        self.opening_.pop(target, None)
+        call.link_id = link_id
+        message = TicketForward(
+            call.forward_id,
+            call.ticket,
+            call.request_id,
+            call.route,
+            call.caller,
+            call.body,
+            call.deadline_at - now,
+        )
+        return [Count("jackdawsill_tickets_forwarded"), SendPeer(link_id, message)]
+
+    def _open_link(
+        self, state: HostState, members: MemberTable, target: str, now: float
+    ) -> list[Effect]:
+        """Open one link to a member; its handshake belongs to membership."""
+        effects: list[Effect] = []
+        if target in self.opening_:
+            link_id, opened_at = self.opening_[target]
+            if now - opened_at < OPEN_TIMEOUT_S:
+                return []
+            effects.append(CloseLink(link_id))
+        member = self._member(members, target)
+        if member is None:
+            return effects
+        link_id = state.next_id()
+        self.opening_[target] = (link_id, now)
+        return [*effects, OpenLink(link_id, member.address)]
+
+    def _member(self, members: MemberTable, incarnation: str) -> Member | None:
+        """Return a live member by its incarnation."""
+        found = (m for m in members.live_hosts() if m.incarnation == incarnation)
+        return next(found, None)
+
+    def on_timer(self, state: HostState, event: TimerFired, now: float) -> list[Effect]:
+        """Repeat a forward, or give up at the deadline of its caller."""
+        timer_id = event.timer_id
+        if timer_id.startswith(RETRY_TIMER):
+            call = self.calls_.get(int(timer_id.removeprefix(RETRY_TIMER)))
+            if call is None or call.link_id is not None:
+                return []
+            return self._route_call(state, call, now)
+        if timer_id.startswith(DEADLINE_TIMER):
+            query_id = int(timer_id.removeprefix(DEADLINE_TIMER))
+            exc = errors.TicketTimeout("the outcome was not known in time")
+            return self._reply(state, query_id, exc, now)
+        return []
+
+    def on_link_closed(
+        self, state: HostState, event: LinkClosed, now: float
+    ) -> list[Effect]:
+        """Ask again for the outcome of forwards on a closed link."""
+        self.opening_ = {
+            target: entry
+            for target, entry in self.opening_.items()
+            if entry[0] != event.link_id
+        }
+        effects: list[Effect] = []
+        for call in self.calls_.values():
+            if call.link_id == event.link_id:
+                call.link_id = None
+                timer_id = f"{RETRY_TIMER}{call.query_id}"
+                effects.append(SetTimer(timer_id, now + FORWARD_RETRY_S))
+        return effects
+
+    def on_forward(
+        self, state: HostState, link_id: int, message: TicketForward, now: float
+    ) -> list[Effect]:
+        """Decide on a forward of another host."""
+        waiter = RemoteWaiter(link_id, message.forward_id)
+        try:
+            ledger = self._ledger_of(message.ticket)
+        except JackdawsillError as exc:
+            return self._reply(state, waiter, exc, now)
+        if ledger is None or self.closed_:
+            reply = TicketReply(message.forward_id, not_issuer=True)
+            return [SendPeer(link_id, reply)]
+        demand = Demand(
+            message.request_id,
+            message.route,
+            message.caller,
+            message.body,
+            message.ticket,
+            now + message.deadline_s,
+        )
+        return self._decide(state, ledger, demand, waiter, now)
+
+    def on_reply(
+        self, state: HostState, link_id: int, message: TicketReply, now: float
+    ) -> list[Effect]:
+        """Reply to the caller of a forward."""
+        call = self._call_of(message.forward_id)
+        if call is None or call.link_id != link_id:
+            return []
+        if message.not_issuer:
+            call.link_id = None
+            timer_id = f"{RETRY_TIMER}{call.query_id}"
+            return [SetTimer(timer_id, now + FORWARD_RETRY_S)]
+        if message.code == ANSWERED:
+            record = Record(0, b"", 0.0, ANSWERED, "", message.answer)
+            return self._reply(state, call.query_id, record, now)
+        exc = error_of(message.code, message.message)
+        return self._reply(state, call.query_id, exc, now)
+
+    def _call_of(self, forward_id: int) -> LocalCall | None:
+        """Return the local call of a forward."""
+        query_id = self.forwards_.get(forward_id)
+        return None if query_id is None else self.calls_.get(query_id)
+
+
+def error_of(code: int, message: str) -> JackdawsillError:
+    """Return the error of a recorded or received code.
+
+    A code that this version does not know says nothing certain.
+    """
+    error_type = ERRORS.get(code, errors.TicketOutcomeUnknown)
+    return error_type(message)
--- /dev/null
+++ b/jackdawsill/tickets/_handlers.py
@@ -0,0 +1,122 @@
+"""Reducer handlers of tickets."""
+
+from jackdawsill.core import (
+    CallerLeft,
+    Effect,
+    HostState,
+    LinkClosed,
+    PauseDetected,
+    PeerMessageRead,
+    SubAnswered,
+    SubFailed,
+    Tick,
+    TimerFired,
+    handles,
+)
+from jackdawsill.stopping import BaseHandover, InHand, register_handover
+from jackdawsill.stopping import register_in_hand as in_hand
+from jackdawsill.tickets._messages import (
+    TicketForward,
+    TicketHandover,
+    TicketHandoverAck,
+    TicketReply,
+)
+from jackdawsill.tickets._office import TicketOffice
+
+
+def _office(state: HostState) -> TicketOffice | None:
+    """Return the ticket office, if this host has one."""
+    return state.parts_.get(TicketOffice)
+
+
+@handles(SubAnswered)
+def on_sub_answered(state: HostState, event: SubAnswered, now: float) -> list[Effect]:
+    """Record the answer of a ticketed request."""
+    office = _office(state)
+    return office.on_answered(state, event, now) if office else []
+
+
+@handles(SubFailed)
+def on_sub_failed(state: HostState, event: SubFailed, now: float) -> list[Effect]:
+    """Record the failure of a ticketed request, or try another replica."""
+    office = _office(state)
+    return office.on_failed(state, event, now) if office else []
+
+
+@handles(TimerFired)
+def on_timer(state: HostState, event: TimerFired, now: float) -> list[Effect]:
+    """Repeat or end a waiting call."""
+    office = _office(state)
+    return office.on_timer(state, event, now) if office else []
+
+
+@handles(CallerLeft)
+def on_caller_left(state: HostState, event: CallerLeft, now: float) -> list[Effect]:
+    """Forget a caller that left."""
+    office = _office(state)
+    return office.on_caller_left(event) if office else []
+
+
+@handles(LinkClosed)
+def on_link_closed(state: HostState, event: LinkClosed, now: float) -> list[Effect]:
+    """Ask again for the outcome of forwards on a closed link."""
+    office = _office(state)
+    return office.on_link_closed(state, event, now) if office else []
+
+
+@handles(PauseDetected)
+def on_pause(state: HostState, event: PauseDetected, now: float) -> list[Effect]:
+    """Start nothing until the host is confirmed."""
+    office = _office(state)
+    return office.on_pause(event, now) if office else []
+
+
+@handles(Tick)
+def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
+    """Drop what is past its time."""
+    office = _office(state)
+    return office.on_tick(state, now) if office else []
+
+
+@handles(PeerMessageRead)
+def on_message(state: HostState, event: PeerMessageRead, now: float) -> list[Effect]:
+    """Handle the messages about tickets."""
+    office = _office(state)
+    message = event.message
+    if office is None:
+        return []
+    if isinstance(message, TicketForward):
+        return office.on_forward(state, event.link_id, message, now)
+    if isinstance(message, TicketReply):
+        return office.on_reply(state, event.link_id, message, now)
+    if isinstance(message, TicketHandover):
+        return office.on_handover(state, event.link_id, message, now)
+    if isinstance(message, TicketHandoverAck):
+        return office.on_handover_ack(state, message)
+    return []
+
+
+@in_hand("tickets")
+def tickets_in_hand(state: HostState) -> InHand:
+    """Report the callers and requests without an outcome."""
+    office = _office(state)
+    if office is None:
+        return InHand(0)
+    return InHand(office.n_in_hand(), office.latest_deadline_at())
+
+
+@register_handover("tickets")
+class TicketsHandover(BaseHandover):
+    """Hand the tickets of a stopping host to its successor."""
+
+    def begin(
+        self, state: HostState, successor: str | None, now: float
+    ) -> list[Effect]:
+        """Stop deciding and send the tickets."""
+        office = _office(state)
+        return office.begin_handover(state, successor, now) if office else []
+
+    def is_done(self, state: HostState) -> bool:
+        """Tell whether the successor has acknowledged."""
+        office = _office(state)
+        return office is None or office.handed_over_
--- /dev/null
+++ b/jackdawsill/tickets/_handover.py
@@ -0,0 +1,193 @@
+"""Handover of tickets from a stopping host to one successor."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from jackdawsill.core import Effect, HostState, LogEvent, Raise, SendPeer, TicketsMoved
+from jackdawsill.membership import MemberTable
+from jackdawsill.tickets import _log_events as log_events
+from jackdawsill.tickets._ledger import (
+    MAX_RECORD_BYTES,
+    RECORD_OVERHEAD_BYTES,
+    SERIALS_PER_SPAN,
+    Ledger,
+)
+from jackdawsill.tickets._messages import (
+    RecordCopy,
+    SpentSpan,
+    TicketHandover,
+    TicketHandoverAck,
+)
+
+# Peer messages hold at most 1 MB; 64 KB keeps pings on the same link prompt.
+CHUNK_BYTES = 64 * 1024
+HEAD_BYTES = 512  # fields of a chunk besides its spans and records
+MAX_INHERITED_BYTES = 2 * MAX_RECORD_BYTES
+MAX_STAGED_SENDERS = 4
+# An incomplete handover is dropped after this time; its sender has exited.
+STAGED_TIMEOUT_S = 10.0
+
+
+@dataclass(slots=True)
+class Staged:
+    """Chunks of one sender that arrived so far."""
+
+    n_chunks: int
+    began_at: float
+    chunks: dict[int, TicketHandover] = field(default_factory=dict)
+
+
+def make_chunks(
+    ledgers: list[Ledger], sender: str, now: float
+) -> list[TicketHandover]:
+    """Return the messages that carry all ledgers."""
+    parts = [
+        (ledger, spans, records)
+        for ledger in ledgers
+        for spans, records in _split_ledger(ledger)
+    ]
+    return [
+        TicketHandover(
+            sender=sender,
+            index=index,
+            n_chunks=len(parts),
+            incarnation=ledger.incarnation,
+            key=ledger.key,
+            issuer_clock_s=ledger.clock_s(now),
+            next_serial=ledger.next_serial_,
+            void_below=ledger.void_below_,
+            last_expiry_s=ledger.last_expiry_s_,
+            spans=spans,
+            records=records,
+        )
+        for index, (ledger, spans, records) in enumerate(parts)
+    ]
+
+
+def _split_ledger(
+    ledger: Ledger,
+) -> Iterator[tuple[tuple[SpentSpan, ...], tuple[RecordCopy, ...]]]:
+    """Yield the spans and records of a ledger in parts that fit into a chunk."""
+    spans: list[SpentSpan] = []
+    records: list[RecordCopy] = []
+    free = CHUNK_BYTES - HEAD_BYTES
+    for item in [*ledger.spans(), *ledger.copies()]:
+        if isinstance(item, SpentSpan):
+            n_bytes = SERIALS_PER_SPAN // 8 + 32
+        else:
+            # A character takes up to four bytes on the wire.
+            n_bytes = 4 * len(item.message) + len(item.answer) + 64
+        if n_bytes > free:
+            yield tuple(spans), tuple(records)
+            spans, records = [], []
+            free = CHUNK_BYTES - HEAD_BYTES
+        free -= n_bytes
+        (spans if isinstance(item, SpentSpan) else records).append(item)
+    yield tuple(spans), tuple(records)
+
+
+class HandoverMixin:
+    """Give tickets to a successor, and take over those of stopped hosts."""
+
+    __slots__ = ()
+
+    def begin_handover(
+        self, state: HostState, successor: str | None, now: float
+    ) -> list[Effect]:
+        """Stop deciding for good, and send everything to one successor."""
+        if self.closed_:
+            return []
+        # From here on this host never decides again, even if no chunk arrives.
+        self.closed_ = True
+        members = state.part(MemberTable)
+        link_id = members.link_to(successor) if successor is not None else None
+        if link_id is None:
+            return []
+        self.successor_ = successor
+        for ledger in self.ledgers_.values():
+            ledger.prune(now)
+        ledgers = [g for g in self.ledgers_.values() if not g.is_over(now)]
+        sender = members.self_member.incarnation
+        chunks = make_chunks(ledgers, sender, now)
+        self.handed_over_ = not chunks
+        fields = {"n_chunks": len(chunks), "successor": successor}
+        effects: list[Effect] = [SendPeer(link_id, chunk) for chunk in chunks]
+        return [*effects, LogEvent(log_events.HANDOVER_SENT, fields)]
+
+    def on_handover_ack(
+        self, state: HostState, message: TicketHandoverAck
+    ) -> list[Effect]:
+        """Note that the successor decides now."""
+        own = state.part(MemberTable).self_member.incarnation
+        if not self.closed_ or message.sender != own or self.handed_over_:
+            return []
+        self.handed_over_ = True
+        return [
+            Raise(TicketsMoved(incarnation, self.successor_))
+            for incarnation in self.ledgers_
+        ]
+
+    def on_handover(
+        self, state: HostState, link_id: int, message: TicketHandover, now: float
+    ) -> list[Effect]:
+        """Keep one chunk; install the tickets when all have arrived."""
+        if message.sender in self.installed_:
+            # The sender repeats itself or a chunk arrived twice.
+            return [SendPeer(link_id, TicketHandoverAck(message.sender))]
+        reason = self._refusal(message)
+        if reason:
+            self.staged_.pop(message.sender, None)
+            fields = {"sender": message.sender, "reason": reason}
+            return [LogEvent(log_events.HANDOVER_REFUSED, fields)]
+        staged = self.staged_.setdefault(
+            message.sender, Staged(message.n_chunks, now)
+        )
+        staged.chunks[message.index] = message
+        if len(staged.chunks) < staged.n_chunks:
+            return []
+        del self.staged_[message.sender]
+        return self._install(state, link_id, staged, now)
+
+    def _refusal(self, message: TicketHandover) -> str:
+        """Return why a chunk is not taken, or an empty text."""
+        if self.closed_:
+            return "this host is stopping"
+        if message.incarnation in self.ledgers_:
+            return "this host decides on these tickets already"
+        if message.sender not in self.staged_:
+            if len(self.staged_) >= MAX_STAGED_SENDERS:
+                return "too many handovers at once"
+        elif self.staged_[message.sender].n_chunks != message.n_chunks:
+            return "chunks of different handovers"
+        n_staged = sum(len(s.chunks) for s in self.staged_.values()) * CHUNK_BYTES
+        inherited = sum(g.n_bytes() for g in list(self.ledgers_.values())[1:])
+        if n_staged + inherited > MAX_INHERITED_BYTES:
+            return "no memory for more tickets"
+        return ""
+
+    def _install(
+        self, state: HostState, link_id: int, staged: Staged, now: float
+    ) -> list[Effect]:
+        """Decide on the tickets of the sender from now on."""
+        own = state.part(MemberTable).self_member.incarnation
+        sender = ""
+        taken: list[str] = []
+        for _, chunk in sorted(staged.chunks.items()):
+            sender = chunk.sender
+            ledger = self.ledgers_.get(chunk.incarnation)
+            if ledger is None:
+                ledger = Ledger(chunk.incarnation, chunk.key)
+                ledger.clock_offset_s_ = chunk.issuer_clock_s - now
+                ledger.next_serial_ = chunk.next_serial
+                ledger.void_below_ = chunk.void_below
+                ledger.last_expiry_s_ = chunk.last_expiry_s
+                self.ledgers_[chunk.incarnation] = ledger
+                taken.append(chunk.incarnation)
+            ledger.load(chunk.spans, chunk.records)
+        self.installed_[sender] = now
+        fields = {"incarnations": ", ".join(taken), "sender": sender}
+        return [
+            LogEvent(log_events.HANDOVER_INSTALLED, fields),
+            SendPeer(link_id, TicketHandoverAck(sender)),
+            *[Raise(TicketsMoved(incarnation, own)) for incarnation in taken],
+        ]
--- /dev/null
+++ b/jackdawsill/tickets/_ledger.py
@@ -0,0 +1,236 @@
+"""Spent tickets and recorded outcomes of one issuer."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from jackdawsill.tickets._messages import RecordCopy, SpentSpan
+from jackdawsill.tickets._ticket import Ticket, encode_ticket
+
+TICKET_TTL_S = 60.0
+# Callers resend for minutes after a timeout; the outcome is kept that long.
+RETENTION_S = 300.0
+SERIALS_PER_SPAN = 1024
+# 4,096 spans hold 4 million dense serials, or 4,096 scattered ones, in 2 MB.
+MAX_SPANS = 4096
+MAX_RECORD_BYTES = 4 * 1024 * 1024
+# A record must fit into one handover chunk of 64 KB.
+MAX_KEPT_ANSWER_BYTES = 48 * 1024
+MAX_KEPT_MESSAGE_CHARS = 500
+# Measured size of a record without its answer and of its place in the table.
+RECORD_OVERHEAD_BYTES = 400
+SPAN_OVERHEAD_BYTES = 400
+
+ANSWERED = 0
+
+
+@dataclass(slots=True)
+class Span:
+    """Spent serials of one span as a bit mask."""
+
+    mask: int = 0
+    latest_expiry_s: float = 0.0
+
+
+class SpentWindow:
+    """Hold the spent serials; unspent ones take no memory."""
+
+    __slots__ = ("max_spans", "spans_")
+
+    def __init__(self, max_spans: int = MAX_SPANS) -> None:
+        self.max_spans = max_spans
+        self.spans_: dict[int, Span] = {}
+
+    def __contains__(self, serial: int) -> bool:
+        index, bit = divmod(serial, SERIALS_PER_SPAN)
+        span = self.spans_.get(index)
+        return span is not None and bool(span.mask >> bit & 1)
+
+    def has_room(self, serial: int) -> bool:
+        """Tell whether a serial can be added within the bound."""
+        known = serial // SERIALS_PER_SPAN in self.spans_
+        return known or len(self.spans_) < self.max_spans
+
+    def add(self, serial: int, expires_s: float) -> None:
+        """Mark a serial spent."""
+        index, bit = divmod(serial, SERIALS_PER_SPAN)
+        span = self.spans_.setdefault(index, Span())
+        span.mask |= 1 << bit
+        span.latest_expiry_s = max(span.latest_expiry_s, expires_s)
+
+    def prune(self, clock_s: float) -> None:
+        """Drop spans whose tickets are all past expiry and retention."""
+        limit = clock_s - RETENTION_S
+        old = [i for i, span in self.spans_.items() if span.latest_expiry_s <= limit]
+        for index in old:
+            del self.spans_[index]
+
+
+@dataclass(slots=True)
+class Record:
+    """Outcome of a spent ticket; `code` is None while the request runs."""
+
+    serial: int
+    body_digest: bytes
+    expires_s: float
+    code: int | None = None
+    message: str = ""
+    answer: bytes = b""
+
+    def n_bytes(self) -> int:
+        """Return the memory that the record takes."""
+        return RECORD_OVERHEAD_BYTES + len(self.message) + len(self.answer)
+
+
+class Ledger:
+    """Decide once for each ticket of one incarnation whether it is spent."""
+
+    __slots__ = (
+        "clock_offset_s_",
+        "incarnation",
+        "key",
+        "last_expiry_s_",
+        "max_record_bytes",
+        "n_record_bytes_",
+        "n_running_",
+        "next_serial_",
+        "records_",
+        "void_below_",
+        "window_",
+    )
+
+    def __init__(
+        self,
+        incarnation: str,
+        key: bytes,
+        max_record_bytes: int = MAX_RECORD_BYTES,
+        max_spans: int = MAX_SPANS,
+    ) -> None:
+        self.incarnation = incarnation
+        self.key = key
+        self.max_record_bytes = max_record_bytes
+        self.clock_offset_s_ = 0.0
+        self.last_expiry_s_ = 0.0
+        self.next_serial_ = 1
+        # Unspent serials below this one are refused for ever. It makes a refusal
+        # for lack of memory final without memory for each refused ticket.
+        self.void_below_ = 0
+        self.window_ = SpentWindow(max_spans)
+        self.records_: OrderedDict[int, Record] = OrderedDict()
+        self.n_record_bytes_ = 0
+        self.n_running_ = 0
+
+    def clock_s(self, now: float) -> float:
+        """Return the issuer's clock, which continues after a handover."""
+        return now + self.clock_offset_s_
+
+    def issue(self, caller: str, route: str, now: float) -> str:
+        """Return the text of a new ticket."""
+        expires_s = self.clock_s(now) + TICKET_TTL_S
+        ticket = Ticket(self.incarnation, self.next_serial_, caller, route, expires_s)
+        self.next_serial_ += 1
+        self.last_expiry_s_ = expires_s
+        return encode_ticket(ticket, self.key)
+
+    def has_room(self, serial: int) -> bool:
+        """Tell whether a ticket can be spent within the bounds of memory."""
+        full = (self.n_running_ + 1) * RECORD_OVERHEAD_BYTES > self.max_record_bytes
+        return not full and self.window_.has_room(serial)
+
+    def spend(self, ticket: Ticket, digest: bytes) -> Record:
+        """Mark a ticket spent and bind it to a body."""
+        self.window_.add(ticket.serial, ticket.expires_s)
+        record = Record(ticket.serial, digest, ticket.expires_s + RETENTION_S)
+        self.n_running_ += 1
+        self._store(record)
+        return record
+
+    def settle(self, record: Record, code: int, message: str, answer: bytes) -> None:
+        """Record the outcome of a spent ticket; the first outcome is final."""
+        if record.code is not None:
+            return
+        self.n_running_ -= 1
+        self.n_record_bytes_ -= record.n_bytes()
+        record.code = code
+        record.message = message[:MAX_KEPT_MESSAGE_CHARS]
+        record.answer = answer
+        self.n_record_bytes_ += record.n_bytes()
+        if len(answer) > MAX_KEPT_ANSWER_BYTES:
+            self._drop(record.serial)
+        self._evict()
+
+    def _store(self, record: Record) -> None:
+        """Keep a record and make room for it."""
+        self.records_[record.serial] = record
+        self.n_record_bytes_ += record.n_bytes()
+        self._evict()
+
+    def _drop(self, serial: int) -> None:
+        """Forget a record; its serial stays spent."""
+        self.n_record_bytes_ -= self.records_.pop(serial).n_bytes()
+
+    def _evict(self) -> None:
+        """Drop the oldest settled records until the rest fits."""
+        while self.n_record_bytes_ > self.max_record_bytes:
+            settled = (s for s, r in self.records_.items() if r.code is not None)
+            oldest = next(settled, None)
+            if oldest is None:
+                return
+            self._drop(oldest)
+
+    def prune(self, now: float) -> None:
+        """Drop what is past expiry and retention."""
+        clock_s = self.clock_s(now)
+        self.window_.prune(clock_s)
+        old = [s for s, r in self.records_.items() if r.expires_s <= clock_s]
+        for serial in old:
+            if self.records_[serial].code is not None:
+                self._drop(serial)
+
+    def is_over(self, now: float) -> bool:
+        """Tell whether every ticket ever issued is past expiry and retention."""
+        return self.clock_s(now) >= self.last_expiry_s_ + RETENTION_S
+
+    def n_bytes(self) -> int:
+        """Return the memory that spent tickets and outcomes take."""
+        return self.n_record_bytes_ + len(self.window_.spans_) * SPAN_OVERHEAD_BYTES
+
+    def spans(self) -> list[SpentSpan]:
+        """Return the spent window for a handover."""
+        n_bytes = SERIALS_PER_SPAN // 8
+        return [
+            SpentSpan(i, span.mask.to_bytes(n_bytes, "big"), span.latest_expiry_s)
+            for i, span in self.window_.spans_.items()
+        ]
+
+    def copies(self) -> list[RecordCopy]:
+        """Return the settled records for a handover.
+
+        A serial without a record stays spent, so a request that still runs gives
+        outcome_unknown at the successor.
+        """
+        return [
+            RecordCopy(
+                r.serial, r.body_digest, r.expires_s, r.code, r.message, r.answer
+            )
+            for r in self.records_.values()
+            if r.code is not None
+        ]
+
+    def load(
+        self, spans: tuple[SpentSpan, ...], copies: tuple[RecordCopy, ...]
+    ) -> None:
+        """Take in spent serials and outcomes of a handover."""
+        for span in spans:
+            mask = int.from_bytes(span.mask, "big")
+            self.window_.spans_[span.index] = Span(mask, span.latest_expiry_s)
+        for copy in copies:
+            self._store(
+                Record(
+                    copy.serial,
+                    copy.body_digest,
+                    copy.expires_s,
+                    copy.code,
+                    copy.message,
+                    copy.answer,
+                )
+            )
--- a/jackdawsill/tickets/_office.py
+++ b/jackdawsill/tickets/_office.py
@@ -1,15 +1,285 @@
 """Tickets for requests that are not idempotent."""
 
-from jackdawsill.core import Effect, HostState, QueryArrived
+import json
+import secrets
 
+from jackdawsill.core import (
+    Answer,
+    CallerLeft,
+    ClearTimer,
+    Count,
+    Deliver,
+    Effect,
+    HostState,
+    PauseDetected,
+    QueryArrived,
+    Refuse,
+    SendPeer,
+    SetTimer,
+)
+from jackdawsill.exceptions import JackdawsillError
+from jackdawsill.membership import MemberTable
+from jackdawsill.spread import ConfigSpread
+from jackdawsill.tickets import _errors as errors
+from jackdawsill.tickets._forwarding import DEADLINE_TIMER, ForwardMixin, error_of
+from jackdawsill.tickets._handover import STAGED_TIMEOUT_S, HandoverMixin, Staged
+from jackdawsill.tickets._issuer import IssuerMixin
+from jackdawsill.tickets._ledger import ANSWERED, MAX_SPANS, RETENTION_S, Ledger, Record
+from jackdawsill.tickets._messages import TicketReply
+from jackdawsill.tickets._runs import (
+    BaseReplicaChoice,
+    BaseSnapshotChoice,
+    LocalCall,
+    RemoteWaiter,
+    Run,
+)
+from jackdawsill.tickets._ticket import decode_ticket
 
-class TicketOffice:
+KEY_BYTES = 32
+# Links take up to two pings to show that they are dead after a pause; a host
+# without any link is only then considered isolated.
+ISOLATED_AFTER_PAUSE_S = 2.0
+# Waiting calls of this host, each with its body in memory.
+MAX_CALLS = 1000
+# Replies of the daemon to a sub-request may come this long after its timeout.
+LOST_REPORT_S = 1.0
+
+
+class TicketOffice(IssuerMixin, ForwardMixin, HandoverMixin):
     """Issue tickets, spend each at most once and keep the outcomes."""
 
-    __slots__ = ()
+    __slots__ = (
+        "calls_",
+        "closed_",
+        "forwards_",
+        "handed_over_",
+        "installed_",
+        "key",
+        "ledgers_",
+        "opening_",
+        "paused_at_",
+        "replicas",
+        "runs_",
+        "snapshots",
+        "staged_",
+        "subs_",
+        "successor_",
+    )
+
+    def __init__(
+        self,
+        key: bytes | None = None,
+        replicas: BaseReplicaChoice | None = None,
+        snapshots: BaseSnapshotChoice | None = None,
+    ) -> None:
+        # The key is a secret and not a decision, so it does not come from the
+        # host's seeded generator.
+        self.key = key or secrets.token_bytes(KEY_BYTES)
+        self.replicas = replicas
+        self.snapshots = snapshots
+        self.ledgers_: dict[str, Ledger] = {}  # the own one first
+        self.runs_: dict[tuple[str, int], Run] = {}
+        self.subs_: dict[int, Run] = {}
+        self.calls_: dict[int, LocalCall] = {}  # by query id
+        self.forwards_: dict[int, int] = {}  # forward id to query id
+        self.opening_: dict[str, tuple[int, float]] = {}  # link id and start
+        self.staged_: dict[str, Staged] = {}
+        self.installed_: dict[str, float] = {}  # senders of handovers
+        self.paused_at_: float | None = None
+        self.closed_ = False
+        self.successor_: str | None = None
+        self.handed_over_ = False
+
+    def replica_table(self, state: HostState) -> BaseReplicaChoice:
+        """Return the replica table given, or the one of the host."""
+        if self.replicas is None:
+            from jackdawsill.routing import ReplicaTable
+
+            self.replicas = state.part(ReplicaTable)
+        return self.replicas
+
+    def snapshot_table(self, state: HostState) -> BaseSnapshotChoice:
+        """Return the snapshot table given, or the one of the host."""
+        if self.snapshots is None:
+            from jackdawsill.snapshots import SnapshotTable
+
+            self.snapshots = state.part(SnapshotTable)
+        return self.snapshots
+
+    def n_in_hand(self) -> int:
+        """Return the number of callers and requests without an outcome."""
+        return len(self.calls_) + len(self.runs_)
+
+    def latest_deadline_at(self) -> float | None:
+        """Return the last deadline of what is in hand."""
+        deadlines = [call.deadline_at for call in self.calls_.values()]
+        deadlines += [run.demand.deadline_at for run in self.runs_.values()]
+        return max(deadlines, default=None)
+
+    def own_ledger(self, state: HostState) -> Ledger:
+        """Return the ledger of the tickets that this process issues."""
+        incarnation = state.part(MemberTable).self_member.incarnation
+        if incarnation not in self.ledgers_:
+            own = Ledger(incarnation, self.key)
+            self.ledgers_ = {incarnation: own, **self.ledgers_}
+        return self.ledgers_[incarnation]
 
     def on_request(
         self, state: HostState, request: QueryArrived, now: float
     ) -> list[Effect]:
         """Decide on a checked request to a route that is not repeatable."""
-        raise NotImplementedError
+        objects = state.objects_
+        query_id = request.query_id
+        ledger = self.own_ledger(state)
+        caller = objects.caller_by_token(request.token)
+        if request.ticket is None:
+            if self.closed_:
+                return [Refuse(query_id, errors.TicketsClosed("the host is stopping"))]
+            ticket = ledger.issue(caller.name, request.route, now)
+            exc = errors.TicketNeeded("send the request again with this ticket")
+            return [Count("jackdawsill_tickets_issued"), Refuse(query_id, exc, ticket)]
+        try:
+            incarnation = decode_ticket(request.ticket).incarnation
+        except JackdawsillError as exc:
+            return [Refuse(query_id, exc)]
+        if len(self.calls_) >= MAX_CALLS:
+            # Another host may have sent the request already, so this refusal
+            # must not claim that it was not run.
+            exc = errors.TicketOutcomeUnknown("too many requests are waiting")
+            return [Refuse(query_id, exc)]
+        deadline_s = request.deadline_s
+        if deadline_s is None:
+            deadline_s = objects.routes[request.route].deadline_ms / 1000
+        call = LocalCall(
+            query_id=query_id,
+            request_id=request.request_id,
+            route=request.route,
+            caller=caller.name,
+            body=request.body,
+            ticket=request.ticket,
+            deadline_at=now + deadline_s,
+            incarnation=incarnation,
+            forward_id=state.next_id(),
+        )
+        self.calls_[query_id] = call
+        self.forwards_[call.forward_id] = query_id
+        timer = SetTimer(f"{DEADLINE_TIMER}{query_id}", call.deadline_at)
+        return [timer, *self._route_call(state, call, now)]
+
+    def on_caller_left(self, event: CallerLeft) -> list[Effect]:
+        """Forget a caller; its request runs on and its outcome is recorded."""
+        return self._forget(event.query_id)
+
+    def _forget(self, query_id: int) -> list[Effect]:
+        """Drop a call and its timer."""
+        call = self.calls_.pop(query_id, None)
+        if call is None:
+            return []
+        del self.forwards_[call.forward_id]
+        return [ClearTimer(f"{DEADLINE_TIMER}{query_id}")]
+
+    def on_pause(self, event: PauseDetected, now: float) -> list[Effect]:
+        """Start nothing until the view of this host is confirmed."""
+        self.paused_at_ = now
+        return []
+
+    def is_confirmed(self, state: HostState, now: float) -> bool:
+        """Tell whether the host may start work after its last pause."""
+        if self.paused_at_ is None:
+            return True
+        members = state.part(MemberTable)
+        own = members.self_member.incarnation
+        linked = any(
+            members.link_to(member.incarnation) is not None
+            for member in members.live_hosts()
+            if member.incarnation != own
+        )
+        isolated = not linked and now - self.paused_at_ >= ISOLATED_AFTER_PAUSE_S
+        if state.part(ConfigSpread).confirmed_ or isolated:
+            self.paused_at_ = None
+        return self.paused_at_ is None
+
+    def on_tick(self, state: HostState, now: float) -> list[Effect]:
+        """Drop what is past its time, and settle runs without a report."""
+        for incarnation, ledger in list(self.ledgers_.items()):
+            ledger.prune(now)
+            own = incarnation == state.part(MemberTable).self_member.incarnation
+            if not own and ledger.is_over(now):
+                del self.ledgers_[incarnation]
+        for sender, staged in list(self.staged_.items()):
+            if now - staged.began_at > STAGED_TIMEOUT_S:
+                del self.staged_[sender]
+        for sender, installed_at in list(self.installed_.items()):
+            if now - installed_at > RETENTION_S:
+                del self.installed_[sender]
+        effects: list[Effect] = []
+        for sub_id, run in list(self.subs_.items()):
+            if now > run.demand.deadline_at + LOST_REPORT_S:
+                del self.subs_[sub_id]
+                exc = errors.TicketOutcomeUnknown("the send was never reported")
+                effects += self._settle(state, run, exc, now)
+        return effects
+
+    def _has_room(self, ledger: Ledger, serial: int) -> bool:
+        """Tell whether a ticket can be spent within the bounds of memory."""
+        n_spans = sum(len(g.window_.spans_) for g in self.ledgers_.values())
+        return n_spans < 2 * MAX_SPANS and ledger.has_room(serial)
+
+    def _ledger_of(self, ticket: str) -> Ledger | None:
+        """Return the ledger that decides on a ticket, if it is here."""
+        return self.ledgers_.get(decode_ticket(ticket).incarnation)
+
+    def _reply(
+        self,
+        state: HostState,
+        waiter: int | RemoteWaiter,
+        result: Record | JackdawsillError,
+        now: float,
+    ) -> list[Effect]:
+        """Reply to a local caller or to the host that forwarded."""
+        if isinstance(waiter, RemoteWaiter):
+            if isinstance(result, JackdawsillError):
+                reply = TicketReply(waiter.forward_id, result.code, result.message)
+            else:
+                reply = TicketReply(
+                    waiter.forward_id, result.code, result.message, result.answer
+                )
+            return [SendPeer(waiter.link_id, reply)]
+        call = self.calls_.get(waiter)
+        if call is None:
+            return []
+        effects = self._forget(waiter)
+        if isinstance(result, JackdawsillError):
+            exc = result
+        elif result.code == ANSWERED:
+            return [*effects, self._deliver(state, call, result.answer)]
+        else:
+            exc = error_of(result.code, result.message)
+        ticket = None
+        if isinstance(exc, errors.TicketExpired) and not self.closed_:
+            ticket = self.own_ledger(state).issue(call.caller, call.route, now)
+        return [*effects, Refuse(call.query_id, exc, ticket)]
+
+    def _deliver(self, state: HostState, call: LocalCall, answer: bytes) -> Effect:
+        """Return the reply with the items that the caller may see now."""
+        objects = state.objects_
+        caller = objects.callers.get(call.caller)
+        route = objects.routes.get(call.route)
+        if caller is None or route is None or not objects.may_query(caller, route):
+            exc = errors.TicketHidden("the caller lost this route")
+            return Refuse(call.query_id, exc)
+        fields = json.loads(answer)
+        visible = objects.visible_classes(caller, route)
+        return Deliver(
+            call.query_id,
+            Answer(
+                request_id=call.request_id,
+                route=call.route,
+                snapshot=fields["snapshot"],
+                generation=fields["generation"],
+                complete=True,
+                covered=(fields["shard"],),
+                missing=(),
+                items=tuple(i for i in fields["items"] if i.get("class") in visible),
+            ),
+        )
