Add the phases of a graceful stop and the handover of tickets

Cause: a planned stop must cut off no request and must not void tickets. Change: phases with readiness, draining bounded by the longest deadline, registries for work in hand and for handovers, and the core events TicketsMoved and HostLeaving for membership. Conclusion: first version without tests.

--- a/jackdawsill/core/__init__.py
+++ b/jackdawsill/core/__init__.py
@@ -30,6 +30,7 @@
     Event,
     FailureKind,
     HostEntry,
+    HostLeaving,
     HostListRead,
     LinkClosed,
     LinkOpened,
@@ -43,6 +44,7 @@
     SubAnswered,
     SubFailed,
     Tick,
+    TicketsMoved,
     TimerFired,
 )
 from jackdawsill.core._reducer import HANDLERS, PAUSE_LIMIT_S, TICK_S, handles, reduce
@@ -67,6 +69,7 @@
     "Exit",
     "FailureKind",
     "HostEntry",
+    "HostLeaving",
     "HostListRead",
     "HostState",
     "LinkClosed",
@@ -93,6 +96,7 @@
     "SubAnswered",
     "SubFailed",
     "Tick",
+    "TicketsMoved",
     "TimerFired",
     "handles",
     "reduce",
--- a/jackdawsill/stopping/_stopping.py
+++ b/jackdawsill/stopping/_stopping.py
@@ -2,6 +2,35 @@
 
 from enum import StrEnum
 
+from jackdawsill.core import (
+    Effect,
+    Exit,
+    HostLeaving,
+    HostState,
+    LogEvent,
+    Raise,
+    SetReadiness,
+    SetTimer,
+    TimerFired,
+)
+from jackdawsill.membership import MemberTable
+from jackdawsill.spread import ConfigSpread
+from jackdawsill.stopping import _log_events as log_events
+from jackdawsill.stopping._registry import HANDOVERS, IN_HAND, InHand
+
+# The balancer checks each second and needs some failures in a row.
+LAMEDUCK_S = 5.0
+# Upper bound of draining, should a caller have asked for a longer deadline.
+MAX_DRAIN_S = 30.0
+# Time past the last deadline for the refusals at the deadline to be written.
+DRAIN_MARGIN_S = 0.5
+# A handover of 8 MB over one link takes well under a second; the rest is for
+# a successor that is busy.
+HANDOVER_LIMIT_S = 3.0
+LAMEDUCK_TIMER = "stopping:lameduck"
+DRAIN_TIMER = "stopping:drain"
+HANDOVER_TIMER = "stopping:handover"
+
 
 class Phase(StrEnum):
     """Name the phases of a host in their order."""
@@ -17,11 +46,132 @@
 class Stopping:
     """Own the phase of the host."""
 
-    __slots__ = ("phase_",)
+    __slots__ = ("drain_until_", "phase_", "successor_")
 
     def __init__(self) -> None:
         self.phase_ = Phase.JOINING
+        self.drain_until_ = 0.0
+        self.successor_: str | None = None
 
     def accepts_new(self) -> bool:
         """Tell whether new requests are taken."""
         return self.phase_ in (Phase.SERVING, Phase.LAMEDUCK)
+
+    def in_hand(self, state: HostState) -> InHand:
+        """Return the unfinished work of all components."""
+        reports = [report(state) for report in IN_HAND.values()]
+        limits = [r.until_s for r in reports if r.n and r.until_s is not None]
+        return InHand(sum(r.n for r in reports), max(limits, default=None))
+
+    def on_tick(self, state: HostState, now: float) -> list[Effect]:
+        """Move on when the phase has reached its aim."""
+        if self.phase_ is Phase.JOINING and self._may_serve(state):
+            state.ready_ = True
+            return [*self._enter(Phase.SERVING), SetReadiness(True)]
+        if self.phase_ is Phase.DRAINING:
+            n = self.in_hand(state).n
+            if n == 0 or now >= self.drain_until_:
+                return self._begin_handover(state, n, now)
+        if self.phase_ is Phase.HANDOVER and self._is_handed_over(state):
+            return self._leave()
+        if self.phase_ is Phase.EXIT:
+            # One tick after HostLeaving, so that the messages to peers come first.
+            return [Exit()]
+        return []
+
+    def on_stop(self, state: HostState, now: float) -> list[Effect]:
+        """Fail the health check; keep serving until the balancer has noticed."""
+        if self.phase_ is Phase.JOINING:
+            # No balancer sends here yet, so there is nothing to wait for.
+            not_ready = self._not_ready(state, "stopping")
+            return [*not_ready, *self._begin_draining(state, now)]
+        if self.phase_ is not Phase.SERVING:
+            fields = {"phase": str(self.phase_)}
+            return [LogEvent(log_events.STOP_REPEATED, fields)]
+        return [
+            *self._not_ready(state, "stopping"),
+            *self._enter(Phase.LAMEDUCK),
+            SetTimer(LAMEDUCK_TIMER, now + LAMEDUCK_S),
+        ]
+
+    def on_timer(self, state: HostState, event: TimerFired, now: float) -> list[Effect]:
+        """End a phase at its limit."""
+        if event.timer_id == LAMEDUCK_TIMER and self.phase_ is Phase.LAMEDUCK:
+            return self._begin_draining(state, now)
+        if event.timer_id == DRAIN_TIMER and self.phase_ is Phase.DRAINING:
+            return self._begin_handover(state, self.in_hand(state).n, now)
+        if event.timer_id == HANDOVER_TIMER and self.phase_ is Phase.HANDOVER:
+            if self._is_handed_over(state):
+                return self._leave()
+            return [self._lost("no acknowledgement in time"), *self._leave()]
+        return []
+
+    def _may_serve(self, state: HostState) -> bool:
+        """Tell whether the host holds the newest set that it can learn of."""
+        spread = state.part(ConfigSpread)
+        ready = getattr(spread, "ready_", spread.confirmed_)
+        return state.objects_ is not None and bool(ready)
+
+    def _enter(self, phase: Phase) -> list[Effect]:
+        """Change the phase and log it."""
+        fields = {"before": str(self.phase_), "after": str(phase)}
+        self.phase_ = phase
+        return [LogEvent(log_events.PHASE_CHANGED, fields)]
+
+    def _not_ready(self, state: HostState, reason: str) -> list[Effect]:
+        """Fail the health check."""
+        state.ready_ = False
+        return [SetReadiness(False, reason)]
+
+    def _begin_draining(self, state: HostState, now: float) -> list[Effect]:
+        """Refuse new requests and wait for those in hand."""
+        effects = self._enter(Phase.DRAINING)
+        until_s = self.in_hand(state).until_s
+        if until_s is None:
+            until_s = now + MAX_DRAIN_S
+        self.drain_until_ = min(until_s + DRAIN_MARGIN_S, now + MAX_DRAIN_S)
+        return [*effects, SetTimer(DRAIN_TIMER, self.drain_until_)]
+
+    def _begin_handover(
+        self, state: HostState, n_in_hand: int, now: float
+    ) -> list[Effect]:
+        """Give what outlives this process to one successor."""
+        effects = self._enter(Phase.HANDOVER)
+        if n_in_hand:
+            effects.append(LogEvent(log_events.DRAIN_INCOMPLETE, {"n": n_in_hand}))
+        self.successor_ = self._choose_successor(state)
+        for handover in HANDOVERS.values():
+            effects += handover.begin(state, self.successor_, now)
+        if self._is_handed_over(state):
+            return [*effects, *self._leave()]
+        if self.successor_ is None:
+            return [*effects, self._lost("no peer is linked"), *self._leave()]
+        return [*effects, SetTimer(HANDOVER_TIMER, now + HANDOVER_LIMIT_S)]
+
+    def _choose_successor(self, state: HostState) -> str | None:
+        """Return a linked peer, of another failure domain if there is one."""
+        members = state.part(MemberTable)
+        own = members.self_member
+        linked = [
+            member
+            for member in members.live_hosts()
+            if member.incarnation != own.incarnation
+            and members.link_to(member.incarnation) is not None
+        ]
+        # Stops often follow one failure domain, so a peer elsewhere stays longer.
+        others = [m for m in linked if m.failure_domain != own.failure_domain]
+        candidates = sorted(m.incarnation for m in others or linked)
+        return state.rng.choice(candidates) if candidates else None
+
+    def _is_handed_over(self, state: HostState) -> bool:
+        """Tell whether every component has handed over."""
+        return all(handover.is_done(state) for handover in HANDOVERS.values())
+
+    def _lost(self, reason: str) -> LogEvent:
+        """Return the log event of a handover that may not have arrived."""
+        fields = {"successor": self.successor_ or "nobody", "reason": reason}
+        return LogEvent(log_events.HANDOVER_LOST, fields)
+
+    def _leave(self) -> list[Effect]:
+        """Tell the peers; the process ends at the next tick."""
+        return [*self._enter(Phase.EXIT), Raise(HostLeaving())]
--- a/jackdawsill/tickets/_handover.py
+++ b/jackdawsill/tickets/_handover.py
@@ -8,7 +8,6 @@
 from jackdawsill.tickets import _log_events as log_events
 from jackdawsill.tickets._ledger import (
     MAX_RECORD_BYTES,
-    RECORD_OVERHEAD_BYTES,
     SERIALS_PER_SPAN,
     Ledger,
 )
@@ -37,9 +36,7 @@
     chunks: dict[int, TicketHandover] = field(default_factory=dict)
 
 
-def make_chunks(
-    ledgers: list[Ledger], sender: str, now: float
-) -> list[TicketHandover]:
+def make_chunks(ledgers: list[Ledger], sender: str, now: float) -> list[TicketHandover]:
     """Return the messages that carry all ledgers."""
     parts = [
         (ledger, spans, records)
@@ -139,9 +136,7 @@
             self.staged_.pop(message.sender, None)
             fields = {"sender": message.sender, "reason": reason}
             return [LogEvent(log_events.HANDOVER_REFUSED, fields)]
-        staged = self.staged_.setdefault(
-            message.sender, Staged(message.n_chunks, now)
-        )
+        staged = self.staged_.setdefault(message.sender, Staged(message.n_chunks, now))
         staged.chunks[message.index] = message
         if len(staged.chunks) < staged.n_chunks:
             return []
--- a/jackdawsill/tickets/_issuer.py
+++ b/jackdawsill/tickets/_issuer.py
@@ -230,9 +230,7 @@
             run.ledger.settle(run.record, result.code, result.message, b"")
         self.runs_.pop(run.key(), None)
         effects: list[Effect] = [
-            Count(
-                "jackdawsill_tickets_settled", 1.0, (("code", str(run.record.code)),)
-            )
+            Count("jackdawsill_tickets_settled", 1.0, (("code", str(run.record.code)),))
         ]
         for waiter in run.waiters:
             effects += self._reply(state, waiter, run.record, now)
