Test the life of a ticket at its issuer and over forwards

Change: a small fleet of hosts for tests and 18 tests; a stopping host also waits for forwards that began while it drained.

--- a/jackdawsill/stopping/_stopping.py
+++ b/jackdawsill/stopping/_stopping.py
@@ -71,9 +71,10 @@
         if self.phase_ is Phase.DRAINING:
             n = self.in_hand(state).n
             if n == 0 or now >= self.drain_until_:
-                return self._begin_handover(state, n, now)
-        if self.phase_ is Phase.HANDOVER and self._is_handed_over(state):
-            return self._leave()
+                return self._begin_handover(state, now)
+        if self.phase_ is Phase.HANDOVER:
+            done = self._is_handed_over(state) or self.successor_ is None
+            return self._leave() if done and not self.in_hand(state).n else []
         if self.phase_ is Phase.EXIT:
             # One tick after HostLeaving, so that the messages to peers come first.
             return [Exit()]
@@ -99,11 +100,12 @@
         if event.timer_id == LAMEDUCK_TIMER and self.phase_ is Phase.LAMEDUCK:
             return self._begin_draining(state, now)
         if event.timer_id == DRAIN_TIMER and self.phase_ is Phase.DRAINING:
-            return self._begin_handover(state, self.in_hand(state).n, now)
+            return self._begin_handover(state, now)
         if event.timer_id == HANDOVER_TIMER and self.phase_ is Phase.HANDOVER:
-            if self._is_handed_over(state):
-                return self._leave()
-            return [self._lost("no acknowledgement in time"), *self._leave()]
+            effects = self._incomplete(state)
+            if self.successor_ is not None and not self._is_handed_over(state):
+                effects.append(self._lost("no acknowledgement in time"))
+            return [*effects, *self._leave()]
         return []
 
     def _may_serve(self, state: HostState) -> bool:
@@ -132,21 +134,31 @@
         self.drain_until_ = min(until_s + DRAIN_MARGIN_S, now + MAX_DRAIN_S)
         return [*effects, SetTimer(DRAIN_TIMER, self.drain_until_)]
 
-    def _begin_handover(
-        self, state: HostState, n_in_hand: int, now: float
-    ) -> list[Effect]:
-        """Give what outlives this process to one successor."""
+    def _begin_handover(self, state: HostState, now: float) -> list[Effect]:
+        """Give what outlives this process to one successor.
+
+        Forwards of other hosts may have begun during draining. Their outcomes are
+        still passed on from here, up to the limit of this phase.
+        """
         effects = self._enter(Phase.HANDOVER)
-        if n_in_hand:
-            effects.append(LogEvent(log_events.DRAIN_INCOMPLETE, {"n": n_in_hand}))
         self.successor_ = self._choose_successor(state)
         for handover in HANDOVERS.values():
             effects += handover.begin(state, self.successor_, now)
-        if self._is_handed_over(state):
+        in_hand = self.in_hand(state)
+        if self.successor_ is None and not self._is_handed_over(state):
+            effects.append(self._lost("no peer is linked"))
+        elif self._is_handed_over(state) and not in_hand.n:
             return [*effects, *self._leave()]
-        if self.successor_ is None:
-            return [*effects, self._lost("no peer is linked"), *self._leave()]
-        return [*effects, SetTimer(HANDOVER_TIMER, now + HANDOVER_LIMIT_S)]
+        limit_s = now + HANDOVER_LIMIT_S
+        if in_hand.until_s is not None:
+            limit_s = max(limit_s, in_hand.until_s + DRAIN_MARGIN_S)
+        limit_s = min(limit_s, now + MAX_DRAIN_S)
+        return [*effects, SetTimer(HANDOVER_TIMER, limit_s)]
+
+    def _incomplete(self, state: HostState) -> list[Effect]:
+        """Return the log event of work that is cut off, if there is any."""
+        n = self.in_hand(state).n
+        return [LogEvent(log_events.DRAIN_INCOMPLETE, {"n": n})] if n else []
 
     def _choose_successor(self, state: HostState) -> str | None:
         """Return a linked peer, of another failure domain if there is one."""
--- /dev/null
+++ b/jackdawsill/tickets/tests/fleet.py
@@ -0,0 +1,290 @@
+"""Small fleet of hosts that run tickets through the reducer, for tests only."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, replace
+from hashlib import sha256
+
+from jackdawsill.core import (
+    Deliver,
+    Exit,
+    FailureKind,
+    HostState,
+    LogEvent,
+    OpenLink,
+    PeerMessageRead,
+    QueryArrived,
+    Refuse,
+    SendPeer,
+    SendSub,
+    SubAnswered,
+    SubFailed,
+    Tick,
+    TicketsMoved,
+    TimerFired,
+    handles,
+    reduce,
+)
+from jackdawsill.membership import Member, MemberTable
+from jackdawsill.objects import (
+    Caller,
+    Group,
+    ObjectSet,
+    Replica,
+    Route,
+    Service,
+    Shard,
+    Snapshot,
+)
+from jackdawsill.quarantine import Quarantine, Verdict
+from jackdawsill.spread import ConfigSpread
+from jackdawsill.stopping import Stopping
+from jackdawsill.tickets import TicketOffice
+
+TOKENS = {"ana": "token-a", "ben": "token-b"}
+
+
+def make_objects() -> ObjectSet:
+    """Return a set with one route that is not repeatable."""
+    callers = {
+        name: Caller(
+            name, "design", sha256(token.encode()).hexdigest(), classes=("proof",)
+        )
+        for name, token in TOKENS.items()
+    }
+    replicas = {
+        f"p{i}": Replica(f"p{i}", "pedidos", f"10.0.0.{i}", 80, "bogota")
+        for i in range(4)
+    }
+    return ObjectSet(
+        1,
+        "d1",
+        callers=callers,
+        groups={"pedidos": Group("pedidos", 3, 200, 1.0)},
+        services={"pedidos": Service("pedidos", "pedidos")},
+        replicas=replicas,
+        snapshots={"v1": Snapshot("v1", "pedidos", 1, (Shard("s1", "pedidos"),))},
+        routes={
+            name: Route(
+                name, "pedidos", ("design",), repeatable=False, classes=("proof",)
+            )
+            for name in ("order", "reorder")
+        },
+    )
+
+
+class FakeMembers:
+    """Member table with a full mesh of links; `fleet` holds the tombstones."""
+
+    def __init__(self, fleet: "Fleet", member: Member) -> None:
+        self.fleet = fleet
+        self.self_member = member
+
+    def live_hosts(self):
+        """Return the members that are alive."""
+        return tuple(
+            h.state.part(MemberTable).self_member
+            for h in self.fleet.hosts.values()
+            if h.alive
+        )
+
+    def link_to(self, incarnation):
+        """Return the link to a host that is alive and not cut off."""
+        return self.fleet.link_between(self.self_member.incarnation, incarnation)
+
+    def is_lost(self, incarnation):
+        """Tell whether a host has crashed or exited."""
+        host = self.fleet.hosts.get(incarnation)
+        return host is None or not host.alive
+
+    def successor_of(self, incarnation):
+        """Return the successor that a tombstone names."""
+        return self.fleet.tombstones.get(incarnation)
+
+
+class FakeReplicas:
+    """Replica table that picks the first replica not excluded."""
+
+    def pick(self, service, exclude, objects, now, rng):
+        """Return a replica."""
+        left = [r for r in objects.replicas_of(service) if r.name not in exclude]
+        return left[0] if left else None
+
+    def on_answer(self, replica, latency_s, load, now):
+        """Ignore an answer."""
+
+    def on_failure(self, replica, kind, now):
+        """Ignore a failure."""
+
+
+class FakeSnapshots:
+    """Snapshot table that binds the newest snapshot."""
+
+    def bind(self, group, objects, now, exclude):
+        """Return the newest snapshot."""
+        return next(iter(objects.snapshots_of(group)), None)
+
+
+class FakeQuarantine:
+    """Quarantine that condemns what crashed twice."""
+
+    def __init__(self) -> None:
+        self.crashes: Counter[str] = Counter()
+
+    def check(self, fingerprint, now):
+        """Return the verdict."""
+        n = min(self.crashes[fingerprint], 2)
+        return (Verdict.CLEAR, Verdict.SUSPECT, Verdict.CONDEMNED)[n]
+
+    def on_crash(self, replica, fingerprints, now):
+        """Count a crash."""
+        self.crashes.update(fingerprints)
+        return ()
+
+    def on_success(self, fingerprint, now):
+        """Clear a fingerprint."""
+        self.crashes.pop(fingerprint, None)
+
+
+@dataclass(slots=True)
+class FakeHost:
+    """One host of the fleet."""
+
+    state: HostState
+    alive: bool = True
+    cut: bool = False
+
+
+class Fleet:
+    """Hosts, messages under way, sub-requests under way, and what backends ran."""
+
+    def __init__(self, names: str = "abc", office_type=TicketOffice) -> None:
+        self.now = 100.0
+        self.office_type = office_type
+        self.hosts: dict[str, FakeHost] = {}
+        self.tombstones: dict[str, str] = {}
+        self.messages: list[tuple[str, str, object]] = []  # from, to, message
+        self.subs: list[tuple[str, SendSub]] = []
+        self.ran: Counter[bytes] = Counter()
+        self.replies: dict[int, Deliver | Refuse] = {}
+        self.logs: list[int] = []
+        self.opened: list[str] = []
+        self.exits: list[str] = []
+        self.n_queries = 0
+        for name in names:
+            self.add_host(name)
+
+    def add_host(self, name: str) -> None:
+        """Start a host; its name is its incarnation."""
+        state = HostState(name, "bogota", random.Random(len(self.hosts)))
+        member = Member(name, name, f"{name}:7000", "bogota")
+        state.parts_[MemberTable] = FakeMembers(self, member)
+        state.parts_[Quarantine] = FakeQuarantine()
+        spread = ConfigSpread()
+        spread.confirmed_ = True
+        state.attach(spread)
+        state.attach(Stopping())
+        key = name.encode() * 8
+        office = self.office_type(key, FakeReplicas(), FakeSnapshots())
+        state.parts_[TicketOffice] = office
+        state.objects_ = make_objects()
+        self.hosts[name] = FakeHost(state)
+        self.feed(name, Tick())
+
+    def office(self, name: str) -> TicketOffice:
+        """Return the ticket office of a host."""
+        return self.hosts[name].state.part(TicketOffice)
+
+    def link_between(self, a: str, b: str) -> int | None:
+        """Return the id of the link of `a` to `b`."""
+        host, peer = self.hosts.get(a), self.hosts.get(b)
+        if a == b or host is None or peer is None or host.cut or peer.cut:
+            return None
+        return 10_000 + sorted(self.hosts).index(b) if peer.alive else None
+
+    def feed(self, name: str, event) -> None:
+        """Give an event to a host that is alive and keep its effects."""
+        host = self.hosts[name]
+        if host.alive:
+            self.carry_out(name, reduce(host.state, event, self.now))
+
+    def carry_out(self, name: str, effects) -> None:
+        """Keep what a host asked for."""
+        for effect in effects:
+            if isinstance(effect, SendPeer):
+                peer = sorted(self.hosts)[effect.link_id - 10_000]
+                self.messages.append((name, peer, effect.message))
+            elif isinstance(effect, SendSub):
+                self.subs.append((name, effect))
+            elif isinstance(effect, Deliver | Refuse):
+                self.replies[effect.query_id] = effect
+            elif isinstance(effect, LogEvent):
+                self.logs.append(effect.number)
+            elif isinstance(effect, OpenLink):
+                self.opened.append(effect.address)
+            elif isinstance(effect, Exit):
+                self.exits.append(name)
+                self.hosts[name].alive = False
+
+    def ask(self, name, ticket=None, body=b"x", caller="ana", **fields) -> int:
+        """Send a request to a host; return its query id."""
+        self.n_queries += 1
+        query = QueryArrived(
+            self.n_queries, f"r{self.n_queries}", "order", TOKENS[caller], body, 0.34
+        )
+        if not self.hosts[name].alive:
+            return self.n_queries
+        request = replace(query, ticket=ticket, **fields)
+        # The reducer detects a pause before the query component calls the office.
+        self.feed(name, TimerFired("none"))
+        state = self.hosts[name].state
+        effects = state.part(TicketOffice).on_request(state, request, self.now)
+        self.carry_out(name, effects)
+        return self.n_queries
+
+    def ticket(self, name: str, caller: str = "ana") -> str:
+        """Return a new ticket of a host."""
+        return self.replies[self.ask(name, caller=caller)].ticket
+
+    def deliver(self, index: int = 0, keep: bool = False) -> None:
+        """Deliver a message under way; with `keep`, it arrives again later."""
+        sender, peer, message = self.messages[index]
+        if not keep:
+            del self.messages[index]
+        link_id = 10_000 + sorted(self.hosts).index(sender)
+        self.feed(peer, PeerMessageRead(link_id, message))
+
+    def deliver_all(self) -> None:
+        """Deliver all messages in order."""
+        while self.messages:
+            self.deliver()
+
+    def answer(self, index: int = 0) -> None:
+        """Let a backend server run a sub-request and answer."""
+        name, sub = self.subs.pop(index)
+        self.ran[sub.body] += 1
+        items = [{"class": "proof", "id": 1}, {"class": "secret", "id": 2}]
+        event = SubAnswered(sub.sub_id, sub.request_id, sub.snapshot, sub.shard, items)
+        self.feed(name, event)
+
+    def fail(self, kind: FailureKind, index: int = 0, ran: bool = False) -> None:
+        """Let a sub-request fail, with or without running it."""
+        name, sub = self.subs.pop(index)
+        self.ran[sub.body] += ran
+        self.feed(name, SubFailed(sub.sub_id, kind))
+
+    def code(self, query_id: int) -> int | None:
+        """Return the reply: 0 for an answer, else the code of the error."""
+        reply = self.replies.get(query_id)
+        if reply is None:
+            return None
+        return 0 if isinstance(reply, Deliver) else reply.error.code
+
+
+@handles(TicketsMoved)
+def spread_tombstone(state, event, now):
+    """Stand in for the tombstones that membership spreads."""
+    members = state.parts_.get(MemberTable)
+    if isinstance(members, FakeMembers):
+        members.fleet.tombstones[event.incarnation] = event.successor
+    return []
--- /dev/null
+++ b/jackdawsill/tickets/tests/test_office.py
@@ -0,0 +1,270 @@
+"""Tests of the life of a ticket."""
+
+import unittest
+from dataclasses import replace
+
+from jackdawsill.core import (
+    FailureKind,
+    LinkClosed,
+    PauseDetected,
+    Tick,
+    TimerFired,
+)
+from jackdawsill.exceptions import Outcome
+from jackdawsill.quarantine import Quarantine
+from jackdawsill.spread import ConfigSpread
+from jackdawsill.tickets import TicketReply
+from jackdawsill.tickets._ledger import RETENTION_S, TICKET_TTL_S, Ledger
+from jackdawsill.tickets.tests.fleet import Fleet
+
+
+class TestIssuer(unittest.TestCase):
+    """Guards the decisions of one issuer."""
+
+    def setUp(self):
+        self.fleet = Fleet("abc")
+
+    def test_without_ticket_nothing_is_sent(self):
+        """Guards against running a request that cannot be told from its copy."""
+        query = self.fleet.ask("a")
+        reply = self.fleet.replies[query]
+        self.assertEqual((reply.error.status, self.fleet.subs), (428, []))
+        self.assertIs(reply.error.outcome, Outcome.NOT_RUN)
+        self.assertEqual(self.fleet.office("a").ledgers_["a"].n_bytes(), 0)
+
+    def test_resend_gets_the_recorded_answer(self):
+        """Guards against a second run, and against another request's answer id."""
+        fleet, ticket = self.fleet, self.fleet.ticket("a")
+        first = fleet.ask("a", ticket)
+        waiting = fleet.ask("a", ticket)
+        fleet.answer()
+        late = fleet.ask("a", ticket)
+        answers = [fleet.replies[q].answer for q in (first, waiting, late)]
+        self.assertEqual([a.request_id for a in answers], ["r2", "r3", "r4"])
+        # The class "secret" is hidden from this caller.
+        self.assertEqual([len(a.items) for a in answers], [1, 1, 1])
+        self.assertEqual(answers[0].covered, ("s1",))
+        self.assertEqual(fleet.ran, {b"x": 1})
+
+    def test_misused_tickets_are_refused(self):
+        """Guards against tickets of another caller, route, body or key."""
+        fleet, ticket = self.fleet, self.fleet.ticket("a")
+        flip = "A" if ticket[0] != "A" else "B"
+        queries = [
+            fleet.ask("a", ticket, caller="ben"),
+            fleet.ask("a", ticket, route="reorder"),
+            fleet.ask("a", flip + ticket[1:]),
+            fleet.ask("a", "no ticket"),
+            fleet.ask("a", ticket),
+            fleet.ask("a", ticket, b"y"),
+        ]
+        codes = [fleet.code(q) for q in queries]
+        self.assertEqual(codes, [3003, 3002, 3002, 3002, None, 3004])
+        self.assertEqual(len(fleet.subs), 1)
+
+    def test_another_replica_only_if_not_run(self):
+        """Guards against a retry after bytes may have reached a replica."""
+        fleet = self.fleet
+        query = fleet.ask("a", fleet.ticket("a"))
+        fleet.fail(FailureKind.SHED)
+        fleet.fail(FailureKind.CONNECT)
+        self.assertEqual(fleet.subs[0][1].replica, "p2")
+        fleet.fail(FailureKind.DECLINED)
+        self.assertEqual((fleet.code(query), fleet.subs), (3011, []))
+        for kind in (
+            FailureKind.CRASH,
+            FailureKind.TIMEOUT,
+            FailureKind.BAD_ANSWER,
+            FailureKind.CANCELLED,
+        ):
+            ticket = fleet.ticket("a")
+            body = kind.encode()
+            query = fleet.ask("a", ticket, body)
+            fleet.fail(kind)
+            again = fleet.ask("a", ticket, body)
+            self.assertEqual((fleet.code(query), fleet.code(again)), (3009, 3009))
+            self.assertEqual(fleet.subs, [])
+
+    def test_crash_reaches_the_quarantine(self):
+        """Guards against a poison request that is sent under new tickets."""
+        fleet = self.fleet
+        for _ in range(2):
+            fleet.ask("a", fleet.ticket("a"), b"poison")
+            fleet.fail(FailureKind.CRASH)
+        query = fleet.ask("a", fleet.ticket("a"), b"poison")
+        self.assertEqual((fleet.code(query), fleet.subs), (3014, []))
+        quarantine = fleet.hosts["a"].state.part(Quarantine)
+        self.assertEqual(quarantine.crashes.total(), 2)
+
+    def test_refusal_as_not_run_is_final(self):
+        """Guards against a copy that runs after its caller was told not_run."""
+        fleet, ticket = self.fleet, self.fleet.ticket("a")
+        objects = fleet.hosts["a"].state.objects_
+        fleet.hosts["a"].state.objects_ = replace(objects, routes={})
+        query = fleet.ask("a", ticket)
+        self.assertEqual(fleet.code(query), 3012)
+        fleet.hosts["a"].state.objects_ = objects
+        self.assertEqual(fleet.code(fleet.ask("a", ticket)), 3012)
+        self.assertEqual(fleet.subs, [])
+
+    def test_delivery_checks_the_newest_set(self):
+        """Guards against an answer to a caller that lost the route meanwhile."""
+        fleet = self.fleet
+        query = fleet.ask("a", fleet.ticket("a"))
+        state = fleet.hosts["a"].state
+        state.objects_ = replace(state.objects_, routes={})
+        fleet.answer()
+        self.assertEqual(fleet.code(query), 3013)
+        self.assertIs(fleet.replies[query].error.outcome, Outcome.OUTCOME_UNKNOWN)
+
+    def test_expiry_and_retention(self):
+        """Guards against not_run for a ticket whose record may be gone."""
+        fleet = self.fleet
+        used, unused = fleet.ticket("a"), fleet.ticket("a")
+        fleet.ask("a", used)
+        fleet.answer()
+        fleet.now += TICKET_TTL_S + 1
+        expired = fleet.ask("a", unused)
+        self.assertEqual(fleet.code(expired), 3005)
+        self.assertIsNotNone(fleet.replies[expired].ticket)
+        self.assertEqual(fleet.code(fleet.ask("a", used)), 0)
+        fleet.now += RETENTION_S
+        fleet.feed("a", Tick())
+        ledger = fleet.office("a").ledgers_["a"]
+        self.assertEqual(ledger.n_bytes(), 0)
+        codes = [fleet.code(fleet.ask("a", t)) for t in (used, unused)]
+        self.assertEqual(codes, [3009, 3009])
+
+    def test_no_work_after_a_pause(self):
+        """Guards against a woken host that acts on its outdated view."""
+        fleet = self.fleet
+        tickets = [fleet.ticket("a") for _ in range(3)]
+        pending = fleet.ask("a", tickets[0])
+        spread = fleet.hosts["a"].state.part(ConfigSpread)
+        spread.confirmed_ = False
+        fleet.now += 5.0
+        fleet.fail(FailureKind.CONNECT)
+        refused = fleet.ask("a", tickets[1])
+        self.assertEqual([fleet.code(pending), fleet.code(refused)], [3007, 3007])
+        self.assertEqual(fleet.subs, [])
+        spread.confirmed_ = True
+        fleet.ask("a", tickets[2])
+        self.assertEqual(len(fleet.subs), 1)
+
+    def test_an_isolated_host_serves_after_a_pause(self):
+        """Guards against the last host refusing for ever after a pause."""
+        fleet = Fleet("a")
+        fleet.hosts["a"].state.part(ConfigSpread).confirmed_ = False
+        fleet.feed("a", PauseDetected(3.0))
+        self.assertEqual(fleet.code(fleet.ask("a", fleet.ticket("a"))), 3007)
+        for _ in range(3):
+            fleet.now += 0.9
+            fleet.feed("a", Tick())
+        fleet.ask("a", fleet.ticket("a"))
+        self.assertEqual(len(fleet.subs), 1)
+
+    def test_deadline_in_a_pause(self):
+        """Guards against not_run at a deadline after the request was sent."""
+        fleet = self.fleet
+        not_sent = fleet.ask("a", fleet.ticket("a"), b"1")
+        sent = fleet.ask("a", fleet.ticket("a"), b"2")
+        fleet.now += 0.5
+        fleet.fail(FailureKind.SHED)
+        fleet.feed("a", TimerFired(f"tickets:deadline:{sent}"))
+        self.assertEqual([fleet.code(not_sent), fleet.code(sent)], [3008, 3010])
+        fleet.now += 2.0
+        fleet.feed("a", Tick())
+        self.assertEqual(fleet.office("a").n_in_hand(), 0)
+
+    def test_full_memory_refuses_for_good(self):
+        """Guards against unbounded memory and against a refusal that is untrue."""
+        fleet = self.fleet
+        office = fleet.office("a")
+        office.ledgers_["a"] = Ledger("a", office.key, max_record_bytes=1000)
+        tickets = [fleet.ticket("a") for _ in range(4)]
+        queries = [fleet.ask("a", t) for t in tickets[:3]]
+        self.assertEqual([fleet.code(q) for q in queries], [None, None, 3006])
+        fleet.answer()
+        codes = [fleet.code(fleet.ask("a", t)) for t in tickets[2:]]
+        self.assertEqual(codes, [3006, 3006])
+        fleet.ask("a", fleet.ticket("a"))
+        self.assertEqual(len(fleet.subs), 2)
+        self.assertLessEqual(office.ledgers_["a"].n_bytes(), 1400)
+
+    def test_dropped_answer_is_unknown(self):
+        """Guards against a second run when the recorded answer was dropped."""
+        fleet = self.fleet
+        office = fleet.office("a")
+        office.ledgers_["a"] = Ledger("a", office.key, max_record_bytes=1000)
+        tickets = [fleet.ticket("a") for _ in range(4)]
+        for ticket in tickets:
+            fleet.ask("a", ticket)
+            fleet.answer()
+        codes = [fleet.code(fleet.ask("a", t)) for t in tickets]
+        self.assertEqual(codes, [3009, 3009, 3009, 0])
+        self.assertEqual(fleet.ran[b"x"], 4)
+
+
+class TestForward(unittest.TestCase):
+    """Guards requests whose ticket belongs to another host."""
+
+    def setUp(self):
+        self.fleet = Fleet("abc")
+        self.ticket = self.fleet.ticket("a")
+
+    def test_issuer_decides_once_for_all_hosts(self):
+        """Guards against two entry hosts that each send the same request."""
+        fleet = self.fleet
+        queries = [fleet.ask(name, self.ticket) for name in "bc"]
+        fleet.deliver(keep=True)
+        fleet.deliver_all()
+        self.assertEqual([name for name, _ in fleet.subs], ["a"])
+        fleet.answer()
+        fleet.deliver_all()
+        self.assertEqual([fleet.code(q) for q in queries], [0, 0])
+
+    def test_errors_keep_their_code(self):
+        """Guards against a refusal that changes its outcome on the way."""
+        fleet = self.fleet
+        query = fleet.ask("b", self.ticket, caller="ben")
+        fleet.deliver_all()
+        self.assertEqual(fleet.code(query), 3003)
+        query = fleet.ask("b", self.ticket)
+        call = fleet.office("b").calls_[query]
+        reply = TicketReply(call.forward_id, code=9999)
+        fleet.messages[:] = [("a", "b", reply)]
+        fleet.deliver_all()
+        self.assertEqual(fleet.code(query), 3009)
+
+    def test_lost_issuer_is_unknown(self):
+        """Guards against not_run when the issuer may have sent the request."""
+        fleet = self.fleet
+        fleet.ask("a", self.ticket)
+        fleet.hosts["a"].alive = False
+        self.assertEqual(fleet.code(fleet.ask("b", self.ticket)), 3009)
+
+    def test_closed_link_repeats_the_forward(self):
+        """Guards against a caller that waits in vain for a lost reply."""
+        fleet = self.fleet
+        query = fleet.ask("b", self.ticket)
+        fleet.deliver()
+        fleet.answer()
+        fleet.messages.clear()
+        fleet.hosts["a"].cut = True
+        fleet.feed("b", LinkClosed(10_000, "a:7000"))
+        fleet.feed("b", TimerFired(f"tickets:retry:{query}"))
+        self.assertEqual(fleet.opened, ["a:7000"])
+        fleet.hosts["a"].cut = False
+        fleet.feed("b", TimerFired(f"tickets:retry:{query}"))
+        fleet.deliver_all()
+        self.assertEqual((fleet.code(query), fleet.ran[b"x"]), (0, 1))
+
+    def test_unreachable_issuer_at_the_deadline(self):
+        """Guards against not_run when the issuer cannot be reached in time."""
+        fleet = self.fleet
+        fleet.hosts["a"].cut = True
+        query = fleet.ask("b", self.ticket)
+        fleet.now += 0.34
+        fleet.feed("b", TimerFired(f"tickets:deadline:{query}"))
+        self.assertEqual(fleet.code(query), 3010)
+        self.assertEqual(fleet.office("b").n_in_hand(), 0)
