--- a/jackdawsill/core/__init__.py
+++ b/jackdawsill/core/__init__.py
@@ -30,6 +30,7 @@
     Event,
     FailureKind,
     HostEntry,
+    HostLeaving,
     HostListRead,
     LinkClosed,
     LinkOpened,
@@ -43,6 +44,7 @@
     SubAnswered,
     SubFailed,
     Tick,
+    TicketsMoved,
     TimerFired,
 )
 from jackdawsill.core._reducer import (
@@ -76,6 +78,7 @@
     "Exit",
     "FailureKind",
     "HostEntry",
+    "HostLeaving",
     "HostListRead",
     "HostState",
     "LinkClosed",
@@ -102,6 +105,7 @@
     "SubAnswered",
     "SubFailed",
     "Tick",
+    "TicketsMoved",
     "TimerFired",
     "gates",
     "handles",
