Serve a query over HTTP from stand-in backend servers

A host had no way to turn sockets into events. The driver feeds events to the reducer, runs timers on one loop timer and carries out effects; the backend client classifies the end of each sub-request; the callers' server runs sanic in the loop. One host with a static object set answers a query from five stand-in backend servers in the test.

--- a/jackdawsill/daemon/__init__.py
+++ b/jackdawsill/daemon/__init__.py
@@ -1,1 +1,7 @@
-"""daemon."""
+"""The daemon: sockets and timers to events, effects to actions."""
+
+from jackdawsill.daemon._build import build_state
+from jackdawsill.daemon._driver import Driver
+from jackdawsill.daemon._process import HostProcess
+
+__all__ = ["Driver", "HostProcess", "build_state"]
--- /dev/null
+++ b/jackdawsill/daemon/_caller_server.py
@@ -0,0 +1,91 @@
+"""HTTP server for callers and for the load balancer's health check."""
+
+import asyncio
+import secrets
+
+from sanic import Request
+from sanic.response import HTTPResponse
+
+from jackdawsill.core import CallerLeft, SetReadiness
+from jackdawsill.daemon._driver import Driver
+from jackdawsill.daemon._errors import InternalFault, NoReply
+from jackdawsill.daemon._http_server import HttpServer, to_response
+from jackdawsill.daemon._log_events import BAD_CALLER_INPUT, LATE_REPLY, NO_REPLY
+from jackdawsill.daemon._replies import Replies, Reply, refusal
+from jackdawsill.daemon._requests import MAX_DEADLINE_MS, check_request
+from jackdawsill.exceptions import JackdawsillError
+
+# Bound on a wait for a reply: the longest deadline and time to deliver.
+REPLY_LIMIT_S = MAX_DEADLINE_MS / 1000.0 + 5.0
+
+
+class CallerServer:
+    """Turn callers' requests into events, and replies into responses."""
+
+    def __init__(self, driver: Driver) -> None:
+        self.driver = driver
+        self.replies = Replies(self._on_unclaimed)
+        self.ready_ = False
+        self.reason_ = "no object set yet"
+        self.http = HttpServer("callers", self._on_error)
+        self.http.app.add_route(
+            self._query, "/v1/query/<route:str>", methods=["POST"], name="query"
+        )
+        self.http.app.add_route(
+            self._healthz, "/healthz", methods=["GET"], name="health"
+        )
+        driver.on_query_fault = self._on_query_fault
+
+    def set_readiness(self, effect: SetReadiness) -> None:
+        """Carry out `SetReadiness`."""
+        self.ready_ = effect.ready
+        self.reason_ = effect.reason
+
+    async def _query(self, request: Request, route: str) -> HTTPResponse:
+        """Answer one request of a caller."""
+        query_id = self.driver.state.next_id()
+        event = check_request(
+            route, request.headers, request.body, query_id, _new_request_id
+        )
+        fut = self.replies.expect(query_id)
+        loop = asyncio.get_running_loop()
+        guard = loop.call_later(REPLY_LIMIT_S, self._on_no_reply, query_id)
+        try:
+            self.driver.feed(event)
+            reply = await fut
+        except asyncio.CancelledError:
+            # sanic cancels the handler when the caller closes its connection.
+            self.replies.forget(query_id)
+            self.driver.feed(CallerLeft(query_id))
+            raise
+        finally:
+            guard.cancel()
+        return to_response(reply)
+
+    async def _healthz(self, request: Request) -> HTTPResponse:
+        """Answer the load balancer's health check."""
+        if self.ready_:
+            return to_response(Reply(200, b'{"ready":true}'))
+        return HTTPResponse(self.reason_, 503)
+
+    def _on_error(self, error: JackdawsillError) -> None:
+        self.driver.log(BAD_CALLER_INPUT, code=error.code_text, detail=error.message)
+
+    def _on_unclaimed(self, query_id: int) -> None:
+        self.driver.log(LATE_REPLY, query_id=query_id)
+
+    def _on_query_fault(self, query_id: int, error: InternalFault) -> None:
+        """Refuse a request whose handler failed before anything was sent."""
+        self.replies.resolve(query_id, refusal(error))
+
+    def _on_no_reply(self, query_id: int) -> None:
+        """Answer a request that no component replied to."""
+        self.driver.log(NO_REPLY, query_id=query_id, limit_s=REPLY_LIMIT_S)
+        error = NoReply("no reply was made in time")
+        self.replies.resolve(query_id, refusal(error))
+        self.driver.feed(CallerLeft(query_id))
+
+
+def _new_request_id() -> str:
+    """Return a request id for a caller that sent none."""
+    return secrets.token_hex(8)
--- /dev/null
+++ b/jackdawsill/daemon/_http_server.py
@@ -0,0 +1,126 @@
+"""HTTP servers on sanic that run inside the daemon's own loop."""
+
+import asyncio
+import itertools
+import socket
+from collections.abc import Callable
+
+from sanic import Request, Sanic
+from sanic.exceptions import MethodNotAllowed as SanicMethodNotAllowed
+from sanic.exceptions import NotFound, PayloadTooLarge, SanicException
+from sanic.response import HTTPResponse
+
+from jackdawsill.daemon._errors import (
+    BadRequest,
+    BodyTooLarge,
+    InternalFault,
+    MethodNotAllowed,
+    UnknownPath,
+)
+from jackdawsill.daemon._replies import Reply, refusal
+from jackdawsill.daemon._requests import MAX_BODY_BYTES
+from jackdawsill.exceptions import JackdawsillError, Outcome
+
+JSON_TYPE = "application/json"
+BACKLOG = 1024
+MAX_HEADER_BYTES = 16 * 1024
+
+# sanic keeps a registry of applications by name, so each needs a name of its own.
+_serials = itertools.count(1)
+
+
+def listening_socket(address: str, port: int) -> socket.socket:
+    """Return a bound socket; with port 0 the kernel chooses the port."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((address, port))
+    except OSError:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
+
+
+def to_response(reply: Reply) -> HTTPResponse:
+    """Return the HTTP response of a reply."""
+    return HTTPResponse(reply.body, reply.status, reply.headers(), JSON_TYPE)
+
+
+def typed_error(exc: BaseException) -> JackdawsillError:
+    """Return the typed error for whatever ended a request."""
+    if isinstance(exc, JackdawsillError):
+        return exc
+    if isinstance(exc, PayloadTooLarge):
+        return BodyTooLarge(f"the body is over {MAX_BODY_BYTES} bytes")
+    if isinstance(exc, NotFound):
+        return UnknownPath("no resource has this path")
+    if isinstance(exc, SanicMethodNotAllowed):
+        return MethodNotAllowed("the resource does not offer this method")
+    if isinstance(exc, SanicException) and 400 <= exc.status_code < 500:
+        return BadRequest(str(exc)[:200])
+    error = InternalFault("the request could not be handled")
+    error.outcome = Outcome.OUTCOME_UNKNOWN
+    return error
+
+
+class HttpServer:
+    """One sanic application on one port, started and stopped in the running loop."""
+
+    def __init__(self, name: str, on_error: Callable[[JackdawsillError], None]) -> None:
+        self.app = Sanic(
+            f"jackdawsill-{name}-{next(_serials)}", configure_logging=False
+        )
+        self.app.config.update(
+            {
+                "ACCESS_LOG": False,
+                "MOTD": False,
+                "REQUEST_MAX_SIZE": MAX_BODY_BYTES,
+                "REQUEST_MAX_HEADER_SIZE": MAX_HEADER_BYTES,
+                "KEEP_ALIVE_TIMEOUT": 75,
+                "FALLBACK_ERROR_FORMAT": "json",
+            }
+        )
+        self.on_error = on_error
+        self.port_ = 0
+        self._server = None
+        self.app.exception(Exception)(self._on_exception)
+
+    async def start(self, address: str, port: int) -> None:
+        """Listen on the address."""
+        sock = listening_socket(address, port)
+        self.port_ = sock.getsockname()[1]
+        self._server = await self.app.create_server(
+            sock=sock,
+            return_asyncio_server=True,
+            access_log=False,
+            backlog=BACKLOG,
+            asyncio_server_kwargs={"start_serving": False},
+        )
+        assert self._server is not None
+        await self._server.startup()
+        await self._server.before_start()
+        await self._server.start_serving()
+        await self._server.after_start()
+
+    async def stop(self) -> None:
+        """Stop listening, then close the connections, which wrote their replies."""
+        if self._server is None:
+            return
+        server, self._server = self._server, None
+        await server.before_stop()
+        server.close()
+        for conn in list(server.connections):
+            conn.close_if_idle()
+        # One turn of the loop lets handlers with a reply in hand write it.
+        await asyncio.sleep(0)
+        for conn in list(server.connections):
+            conn.close()
+        await server.after_stop()
+        Sanic.unregister_app(self.app)
+
+    async def _on_exception(self, request: Request, exc: Exception) -> HTTPResponse:
+        """Answer with a typed refusal whatever went wrong."""
+        error = typed_error(exc)
+        self.on_error(error)
+        return to_response(refusal(error))
--- /dev/null
+++ b/jackdawsill/daemon/_requests.py
@@ -0,0 +1,89 @@
+"""Check the requests of callers."""
+
+import re
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+
+from jackdawsill.core import Policy, QueryArrived
+from jackdawsill.daemon._errors import BadRequest
+
+MAX_BODY_BYTES = 256 * 1024
+MAX_DEADLINE_MS = 60_000
+MAX_TOKEN_CHARS = 512
+MAX_TICKET_CHARS = 1024
+
+# Request ids become part of a header and of the cancel path of backend servers.
+_REQUEST_ID = re.compile(r"[A-Za-z0-9_.~-]{1,128}")
+_ROUTE = re.compile(r"[A-Za-z0-9_.~-]{1,128}")
+_OBJECT = msgspec.json.Decoder(dict[str, Any])
+
+
+def check_request(
+    route: str,
+    headers: Mapping[str, str],
+    body: bytes,
+    query_id: int,
+    new_request_id: Callable[[], str],
+) -> QueryArrived:
+    """Return the event of a request, or raise `BadRequest`."""
+    if not _ROUTE.fullmatch(route):
+        raise BadRequest("the route's name is not valid")
+    request_id = headers.get("x-request-id")
+    if request_id is None:
+        request_id = new_request_id()
+    elif not _REQUEST_ID.fullmatch(request_id):
+        raise BadRequest(
+            "X-Request-Id must be 1 to 128 of the characters A-Za-z0-9_.~-"
+        )
+    ticket = headers.get("x-ticket")
+    if ticket is not None and len(ticket) > MAX_TICKET_CHARS:
+        raise BadRequest(f"X-Ticket is over {MAX_TICKET_CHARS} characters")
+    try:
+        _OBJECT.decode(body)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise BadRequest(f"the body is not a JSON object: {exc}") from None
+    return QueryArrived(
+        query_id=query_id,
+        request_id=request_id,
+        route=route,
+        token=_token(headers.get("authorization", "")),
+        body=body,
+        deadline_s=_deadline_s(headers.get("x-deadline-ms")),
+        policy=_policy(headers.get("x-policy")),
+        ticket=ticket,
+    )
+
+
+def _token(authorization: str) -> str:
+    """Return the bearer token, or an empty one, which belongs to no caller."""
+    scheme, _, token = authorization.partition(" ")
+    if scheme.lower() != "bearer":
+        return ""
+    token = token.strip()
+    if len(token) > MAX_TOKEN_CHARS:
+        raise BadRequest(f"the bearer token is over {MAX_TOKEN_CHARS} characters")
+    return token
+
+
+def _deadline_s(text: str | None) -> float | None:
+    """Return the deadline in seconds."""
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit() and len(text) <= 9):
+        raise BadRequest("X-Deadline-Ms must be a whole number of milliseconds")
+    ms = int(text)
+    if not 1 <= ms <= MAX_DEADLINE_MS:
+        raise BadRequest(f"X-Deadline-Ms must be 1 to {MAX_DEADLINE_MS}")
+    return ms / 1000.0
+
+
+def _policy(text: str | None) -> Policy | None:
+    """Return the policy that a caller asks for."""
+    if text is None:
+        return None
+    try:
+        return Policy(text)
+    except ValueError:
+        raise BadRequest("X-Policy must be latency or coverage") from None
--- a/jackdawsill/standins/__init__.py
+++ b/jackdawsill/standins/__init__.py
@@ -1,1 +1,20 @@
-"""standins."""
+"""Scripted stand-ins for the systems around a host."""
+
+from jackdawsill.standins._backend import (
+    BackendScript,
+    BackendServer,
+    Run,
+    Wrong,
+    echo_items,
+)
+from jackdawsill.standins._listener import LOOPBACK, Listener
+
+__all__ = [
+    "LOOPBACK",
+    "BackendScript",
+    "BackendServer",
+    "Listener",
+    "Run",
+    "Wrong",
+    "echo_items",
+]
--- /dev/null
+++ b/jackdawsill/standins/_backend.py
@@ -0,0 +1,290 @@
+"""Scripted stand-in for a backend server."""
+
+import asyncio
+import json
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from aiohttp import web
+
+from jackdawsill.standins._listener import Listener
+
+OVERSIZED_BYTES = 2 * 1024 * 1024  # over any answer limit of a host
+
+
+class Wrong(StrEnum):
+    """Name the wrong answers that a backend server can give."""
+
+    TRUNCATED = "truncated"
+    OVERSIZED = "oversized"
+    OTHER_SNAPSHOT = "other_snapshot"
+    OTHER_REQUEST = "other_request"
+    OTHER_SHARD = "other_shard"
+    NOT_JSON = "not_json"
+
+
+def echo_items(shard: str, snapshot: str, body: dict[str, Any]) -> list[dict]:
+    """Return one item that names its shard and snapshot."""
+    return [{"id": f"{shard}-1", "class": "public", "snapshot": snapshot}]
+
+
+@dataclass(slots=True)
+class BackendScript:
+    """Behaviour of a backend server; fields may be changed while it runs."""
+
+    n_slots: int = 2
+    n_queue_max: int = 64  # waiting sub-requests above this are shed
+    max_connections: int = 200
+    connect_ms: float = 0.0  # added to the first request of each connection
+    median_ms: float = 0.0
+    sigma: float = 0.3  # of the lognormal latency distribution
+    straggler_fraction: float = 0.0
+    straggler_factor: float = 10.0
+    n_cold: int = 0  # first sub-requests that run slower
+    cold_factor: float = 5.0
+    starting: bool = False
+    shed: bool = False
+    shed_fraction: float = 0.0
+    draining: bool = False  # refuses new work
+    leaving: bool = False  # still works, with the X-Draining header
+    servable: frozenset[str] | None = None  # None: every snapshot
+    poison: bytes = b""  # bodies that contain it crash the server
+    wrong: Wrong | None = None
+    healthy: bool = True  # answer of /health, true or not
+    reported_running: int | None = None  # answer of /load, if not the truth
+    in_band_load: bool = True
+    items: Callable[[str, str, dict], list[dict]] = echo_items
+
+
+@dataclass(slots=True, frozen=True)
+class Run:
+    """One sub-request that was run."""
+
+    request_id: str
+    shard: str
+    snapshot: str
+    body: bytes
+
+
+class BackendServer:
+    """Answer sub-requests on loopback as its script says."""
+
+    def __init__(
+        self, script: BackendScript | None = None, rng: random.Random | None = None
+    ) -> None:
+        self.script = script or BackendScript()
+        self.rng = rng or random.Random(0)
+        self.listener = Listener(self._handle)
+        self.n_running_ = 0
+        self.n_run_ = 0
+        self.n_cancelled_ = 0
+        self.n_crashes_ = 0
+        self.runs_: deque[Run] = deque(maxlen=10_000)
+        self.deadlines_ms_: deque[int] = deque(maxlen=100)
+        self.gate: asyncio.Event | None = None  # set: runs wait for it
+        self.arrived = asyncio.Event()  # set when a sub-request starts to run
+        self._waiting: deque[asyncio.Future] = deque()
+        self._in_hand: dict[str, asyncio.Future] = {}
+
+    @property
+    def address(self) -> str:
+        """Return host:port."""
+        return self.listener.address
+
+    async def start(self) -> None:
+        """Listen; a restart uses the same port again."""
+        await self.listener.start()
+
+    async def stop(self) -> None:
+        """Close all connections and stop listening."""
+        await self.listener.stop()
+
+    def crash(self) -> None:
+        """End like a process that dies: all connections close abruptly."""
+        self.n_crashes_ += 1
+        self.listener.crash()
+        for fut in [*self._waiting, *self._in_hand.values()]:
+            if not fut.done():
+                fut.cancel()
+        self._waiting.clear()
+        self._in_hand.clear()
+        self.n_running_ = 0
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Dispatch one request by its path."""
+        parts = request.path.split("/")
+        if request.method == "POST" and parts[:2] == ["", "v1"] and len(parts) == 4:
+            body = await request.read()
+            if parts[2] == "shard":
+                return await self._shard(request, parts[3], body)
+            if parts[2] == "cancel":
+                return self._cancel(parts[3])
+        if request.path == "/health":
+            return web.Response(status=200 if self.script.healthy else 503)
+        if request.path == "/load":
+            reported = self.script.reported_running
+            running = self.n_running_ if reported is None else reported
+            return web.json_response({"running": running, "slots": self.script.n_slots})
+        return web.Response(status=404)
+
+    def _refusal(self, reason: str, *, close: bool = False) -> web.Response:
+        """Return a 503 that says that the sub-request was not run."""
+        response = web.Response(status=503, headers={"X-Refusal": reason})
+        if close:
+            response.force_close()
+        return response
+
+    def _refuse(self, request: web.BaseRequest, snapshot: str) -> web.Response | None:
+        """Return the scripted refusal, if there is one."""
+        script = self.script
+        server = self.listener.server_
+        if (
+            server is not None
+            and len(server.transports_) > script.max_connections
+            and server.position(request.transport) >= script.max_connections
+        ):
+            return self._refusal("connections", close=True)
+        if script.starting:
+            return self._refusal("starting")
+        if script.draining:
+            return self._refusal("draining", close=True)
+        if script.servable is not None and snapshot not in script.servable:
+            return web.json_response({"servable": sorted(script.servable)}, status=409)
+        shed = script.shed or len(self._waiting) >= script.n_queue_max
+        if shed or (script.shed_fraction and self.rng.random() < script.shed_fraction):
+            return web.Response(status=429)
+        return None
+
+    async def _shard(
+        self, request: web.BaseRequest, shard: str, body: bytes
+    ) -> web.StreamResponse:
+        """Run one sub-request in a slot."""
+        script = self.script
+        request_id = request.headers.get("X-Request-Id", "")
+        snapshot = request.headers.get("X-Snapshot", "")
+        refusal = self._refuse(request, snapshot)
+        if refusal is not None:
+            return refusal
+        loop = asyncio.get_running_loop()
+        self.deadlines_ms_.append(int(request.headers.get("X-Deadline-Ms", "0")))
+        if self.n_running_ >= script.n_slots:
+            turn = loop.create_future()
+            self._waiting.append(turn)
+            self._in_hand[request_id] = turn
+            try:
+                await turn
+            except asyncio.CancelledError:
+                return web.Response(status=499)
+        else:
+            self.n_running_ += 1
+        try:
+            if script.poison and script.poison in body:
+                self.crash()
+                return web.Response(status=500)
+            self.n_run_ += 1
+            self.runs_.append(Run(request_id, shard, snapshot, body))
+            self.arrived.set()
+            if not await self._work(request_id):
+                self.n_cancelled_ += 1
+                return web.Response(status=499)
+        finally:
+            self._release()
+        return await self._answer(request, request_id, shard, snapshot, body)
+
+    def _release(self) -> None:
+        """Give the slot to the next sub-request that waits."""
+        while self._waiting:
+            turn = self._waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.n_running_ = max(0, self.n_running_ - 1)
+
+    async def _work(self, request_id: str) -> bool:
+        """Take the scripted time; return False if cancelled meanwhile."""
+        delay_s = self._service_time_s()
+        if delay_s <= 0 and self.gate is None:
+            return True
+        loop = asyncio.get_running_loop()
+        done = loop.create_future()
+        self._in_hand[request_id] = done
+        if self.gate is not None:
+            waiter = loop.create_task(self.gate.wait())
+            waiter.add_done_callback(lambda _: done.done() or done.set_result(None))
+        else:
+            loop.call_later(delay_s, lambda: done.done() or done.set_result(None))
+        try:
+            await done
+        except asyncio.CancelledError:
+            return False
+        finally:
+            self._in_hand.pop(request_id, None)
+        return True
+
+    def _service_time_s(self) -> float:
+        """Draw a service time from the scripted distribution."""
+        script = self.script
+        if script.median_ms <= 0:
+            return 0.0
+        ms = script.median_ms * self.rng.lognormvariate(0.0, script.sigma)
+        if self.rng.random() < script.straggler_fraction:
+            ms *= script.straggler_factor
+        if self.n_run_ <= script.n_cold:
+            ms *= script.cold_factor
+        return ms / 1000.0
+
+    def _cancel(self, request_id: str) -> web.Response:
+        """Cancel a sub-request that waits or runs."""
+        fut = self._in_hand.get(request_id)
+        if fut is None or fut.done():
+            return web.Response(status=404)
+        fut.cancel()
+        return web.Response(status=200)
+
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        shard: str,
+        snapshot: str,
+        body: bytes,
+    ) -> web.StreamResponse:
+        """Return the answer, or the scripted wrong one."""
+        script = self.script
+        payload: dict[str, Any] = {
+            "request_id": request_id,
+            "snapshot": snapshot,
+            "shard": shard,
+            "load": {"running": self.n_running_, "slots": script.n_slots},
+            "items": script.items(shard, snapshot, json.loads(body or b"{}")),
+        }
+        if not script.in_band_load:
+            del payload["load"]
+        match script.wrong:
+            case Wrong.OTHER_SNAPSHOT:
+                payload["snapshot"] += "-old"
+            case Wrong.OTHER_REQUEST:
+                payload["request_id"] = "another"
+            case Wrong.OTHER_SHARD:
+                payload["shard"] += "-other"
+            case Wrong.OVERSIZED:
+                payload["items"] = [{"text": "x" * OVERSIZED_BYTES}]
+        data = json.dumps(payload).encode()
+        headers = {"Content-Type": "application/json"}
+        if script.leaving or script.draining:
+            headers["X-Draining"] = "1"
+        if script.wrong is Wrong.NOT_JSON:
+            data = b"<html>"
+        if script.wrong is Wrong.TRUNCATED:
+            headers["Content-Length"] = str(len(data))
+            response = web.StreamResponse(headers=headers)
+            await response.prepare(request)
+            await response.write(data[: len(data) // 2])
+            assert request.transport is not None
+            request.transport.close()
+            return response
+        return web.Response(body=data, headers=headers)
