Add message streams, platform readers and the operators' port

Hosts had no codec for their messages and no way to read the platform. The views of components are registered in core, so that components need not import the daemon. sanic's rewriting of its methods is off, since it fails for the second application of a process.

--- a/jackdawsill/core/__init__.py
+++ b/jackdawsill/core/__init__.py
@@ -47,11 +47,24 @@
 )
 from jackdawsill.core._reducer import HANDLERS, PAUSE_LIMIT_S, TICK_S, handles, reduce
 from jackdawsill.core._state import HostState
+from jackdawsill.core._views import (
+    EXPLAINS,
+    REPORTS,
+    STATUS_SECTIONS,
+    explain,
+    explains,
+    report,
+    status,
+    status_section,
+)
 
 __all__ = [
+    "EXPLAINS",
     "HANDLERS",
     "NOT_RUN_KINDS",
     "PAUSE_LIMIT_S",
+    "REPORTS",
+    "STATUS_SECTIONS",
     "TICK_S",
     "Answer",
     "CallerLeft",
@@ -94,6 +107,11 @@
     "SubFailed",
     "Tick",
     "TimerFired",
+    "explain",
+    "explains",
     "handles",
     "reduce",
+    "report",
+    "status",
+    "status_section",
 ]
--- a/jackdawsill/daemon/_backend_client.py
+++ b/jackdawsill/daemon/_backend_client.py
@@ -21,6 +21,7 @@
     check_answer,
     classify_refusal,
 )
+from jackdawsill.daemon._bodies import read_limited
 
 Outcome = SubAnswered | SubFailed
 
@@ -123,6 +124,10 @@
         self._loop: asyncio.AbstractEventLoop | None = None
         self._session: aiohttp.ClientSession | None = None
 
+    def __len__(self) -> int:
+        """Return how many sub-requests have not ended."""
+        return len(self._subs)
+
     async def start(self) -> None:
         """Open the connection pool; needs a running loop."""
         self._loop = asyncio.get_running_loop()
@@ -286,7 +291,7 @@
             allow_redirects=False,
         )
         try:
-            body = await _read_limited(resp)
+            body = await read_limited(resp, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, OSError) as exc:
             resp.close()
             detail = f"truncated: {exc!r}"[:200]
@@ -313,18 +318,3 @@
         if isinstance(exc, (aiohttp.ClientConnectionError, OSError)):
             return SubFailed(sub_id, FailureKind.CRASH, detail=detail)
         return SubFailed(sub_id, FailureKind.BAD_ANSWER, detail=detail)
-
-
-async def _read_limited(resp: aiohttp.ClientResponse) -> bytes | None:
-    """Read a body; return None if it is over the limit."""
-    length = resp.content_length
-    if length is not None:
-        return await resp.read() if length <= MAX_ANSWER_BYTES else None
-    chunks = []
-    n_bytes = 0
-    async for chunk in resp.content.iter_any():
-        n_bytes += len(chunk)
-        if n_bytes > MAX_ANSWER_BYTES:
-            return None
-        chunks.append(chunk)
-    return b"".join(chunks)
--- a/jackdawsill/daemon/_http_server.py
+++ b/jackdawsill/daemon/_http_server.py
@@ -24,6 +24,8 @@
 JSON_TYPE = "application/json"
 BACKLOG = 1024
 MAX_HEADER_BYTES = 16 * 1024
+FLUSH_LIMIT_S = 2.0  # for replies that are being written when the host ends
+FLUSH_STEP_S = 0.002
 
 # sanic keeps a registry of applications by name, so each needs a name of its own.
 _serials = itertools.count(1)
@@ -79,6 +81,9 @@
                 "REQUEST_MAX_HEADER_SIZE": MAX_HEADER_BYTES,
                 "KEEP_ALIVE_TIMEOUT": 75,
                 "FALLBACK_ERROR_FORMAT": "json",
+                # The rewriting of sanic's own methods at start works only for the
+                # first application of a process.
+                "TOUCHUP": False,
             }
         )
         self.on_error = on_error
@@ -110,12 +115,16 @@
         server, self._server = self._server, None
         await server.before_stop()
         server.close()
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + FLUSH_LIMIT_S
+        while server.connections and loop.time() < until_s:
+            for conn in list(server.connections):
+                conn.close_if_idle()
+            # sanic offers no event for a written reply, so connections are looked at
+            # until each is idle.
+            await asyncio.sleep(FLUSH_STEP_S)
         for conn in list(server.connections):
-            conn.close_if_idle()
-        # One turn of the loop lets handlers with a reply in hand write it.
-        await asyncio.sleep(0)
-        for conn in list(server.connections):
-            conn.close()
+            conn.abort()
         await server.after_stop()
         Sanic.unregister_app(self.app)
 
--- /dev/null
+++ b/jackdawsill/daemon/_links.py
@@ -0,0 +1,191 @@
+"""Message streams to and from peers."""
+
+import asyncio
+import socket
+from typing import Any
+
+from jackdawsill.core import (
+    CloseLink,
+    LinkClosed,
+    LinkOpened,
+    OpenLink,
+    PeerMessageRead,
+    SendPeer,
+)
+from jackdawsill.daemon._driver import Driver
+from jackdawsill.daemon._log_events import BAD_PEER_MESSAGE
+from jackdawsill.exceptions import JackdawsillError
+from jackdawsill.peers import Decoder, PeerMessage, encode
+
+CONNECT_TIMEOUT_S = 2.0
+# A peer that reads this slowly is as good as lost; closing the link bounds memory.
+MAX_UNSENT_BYTES = 4 * 1024 * 1024
+CLOSE_TIMEOUT_S = 1.0
+BACKLOG = 1024
+
+
+class _Link(asyncio.Protocol):
+    """One stream; `link_id` is chosen by the reducer for outgoing streams."""
+
+    __slots__ = ("address", "decoder", "detail", "link_id", "links", "transport")
+
+    def __init__(
+        self, links: "LinkSet", link_id: int | None = None, address: str = ""
+    ) -> None:
+        self.links = links
+        self.link_id = link_id
+        self.address = address
+        self.decoder = Decoder()
+        self.detail = ""
+        self.transport: Any = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Announce an open stream."""
+        self.transport = transport
+        outgoing = self.link_id is not None
+        if self.link_id is None:
+            self.link_id = self.links.driver.state.next_id()
+            peer = transport.get_extra_info("peername")
+            self.address = f"{peer[0]}:{peer[1]}" if peer else ""
+        self.links.on_opened(self, outgoing)
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the messages that are complete; a bad one closes the stream."""
+        links = self.links
+        assert self.link_id is not None
+        try:
+            for message in self.decoder.feed(data):
+                if self.transport.is_closing():
+                    return
+                links.driver.feed(PeerMessageRead(self.link_id, message))
+        except JackdawsillError as exc:
+            self.fail(str(exc))
+
+    def eof_received(self) -> bool:
+        """Close when the peer has closed its side."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Announce a closed stream."""
+        if exc is not None and not self.detail:
+            self.detail = repr(exc)[:200]
+        self.links.on_closed(self)
+
+    def fail(self, detail: str) -> None:
+        """Close at once because of a fault of the peer."""
+        self.detail = detail[:200]
+        self.links.driver.log(
+            BAD_PEER_MESSAGE,
+            link_id=self.link_id,
+            address=self.address,
+            detail=self.detail,
+        )
+        self.transport.abort()
+
+
+class LinkSet:
+    """Carry out `OpenLink`, `CloseLink` and `SendPeer`, and listen for peers.
+
+    Each `OpenLink` ends in exactly one `LinkClosed`, as does each incoming stream.
+    """
+
+    def __init__(self, driver: Driver) -> None:
+        self.driver = driver
+        self.port_ = 0
+        self._links: dict[int, _Link] = {}
+        self._opening: dict[int, asyncio.Task] = {}
+        self._server: asyncio.Server | None = None
+        self._last: tuple[PeerMessage | None, bytes] = (None, b"")
+        self._all_closed: asyncio.Event | None = None
+
+    def __len__(self) -> int:
+        """Return the number of open streams."""
+        return len(self._links)
+
+    async def start(self, sock: socket.socket) -> None:
+        """Listen on a bound socket."""
+        self.port_ = sock.getsockname()[1]
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Link(self), sock=sock, backlog=BACKLOG
+        )
+
+    async def stop(self) -> None:
+        """Stop listening; write the queued messages and close all streams."""
+        if self._server is not None:
+            self._server.close()
+        opening = list(self._opening.values())
+        for task in opening:
+            task.cancel()
+        await asyncio.gather(*opening, return_exceptions=True)
+        if self._links:
+            self._all_closed = asyncio.Event()
+            for link in self._links.values():
+                link.transport.close()
+            try:
+                async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                    await self._all_closed.wait()
+            except TimeoutError:
+                for link in list(self._links.values()):
+                    link.transport.abort()
+
+    def open(self, effect: OpenLink) -> None:
+        """Begin to open a stream."""
+        task = asyncio.get_running_loop().create_task(self._open(effect))
+        self._opening[effect.link_id] = task
+
+    def close(self, effect: CloseLink) -> None:
+        """Close a stream after its queued messages were written."""
+        link = self._links.get(effect.link_id)
+        if link is not None:
+            link.transport.close()
+        elif effect.link_id in self._opening:
+            self._opening[effect.link_id].cancel()
+
+    def send(self, effect: SendPeer) -> None:
+        """Write a message; one for a closed stream is dropped."""
+        link = self._links.get(effect.link_id)
+        if link is None or link.transport.is_closing():
+            return
+        last, data = self._last
+        if last is not effect.message:
+            # A broadcast sends one message to many links; it is encoded once.
+            data = encode(effect.message)
+            self._last = (effect.message, data)
+        link.transport.write(data)
+        if link.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            link.fail(f"over {MAX_UNSENT_BYTES} bytes are unsent")
+
+    def on_opened(self, link: _Link, outgoing: bool) -> None:
+        """Register an open stream."""
+        assert link.link_id is not None
+        self._links[link.link_id] = link
+        self.driver.feed(LinkOpened(link.link_id, link.address, outgoing))
+
+    def on_closed(self, link: _Link) -> None:
+        """Forget a closed stream."""
+        assert link.link_id is not None
+        if self._links.pop(link.link_id, None) is not None:
+            self.driver.feed(LinkClosed(link.link_id, link.address, link.detail))
+        if not self._links and self._all_closed is not None:
+            self._all_closed.set()
+
+    async def _open(self, effect: OpenLink) -> None:
+        """Connect to a peer."""
+        link_id, address = effect.link_id, effect.address
+        loop = asyncio.get_running_loop()
+        detail = "closed before it was open"
+        opened = False
+        try:
+            host, _, port = address.rpartition(":")
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await loop.create_connection(
+                    lambda: _Link(self, link_id, address), host, int(port)
+                )
+            opened = True
+        except (OSError, ValueError, TimeoutError) as exc:
+            detail = repr(exc)[:200]
+        finally:
+            self._opening.pop(link_id, None)
+            if not opened and link_id not in self._links:
+                self.driver.feed(LinkClosed(link_id, address, detail))
--- a/jackdawsill/daemon/_process.py
+++ b/jackdawsill/daemon/_process.py
@@ -6,28 +6,41 @@
 
 from jackdawsill.core import (
     CancelSub,
+    CloseLink,
     Count,
     Deliver,
     Exit,
+    FailureKind,
     HostState,
     Observe,
+    OpenLink,
+    ReadConfig,
+    ReadHostList,
     Refuse,
+    SendPeer,
     SendSub,
     SetReadiness,
     StopRequested,
     SubFailed,
 )
-from jackdawsill.core._events import FailureKind
 from jackdawsill.daemon._backend_client import BackendClient, Outcome
 from jackdawsill.daemon._build import build_state
 from jackdawsill.daemon._caller_server import CallerServer
 from jackdawsill.daemon._driver import Driver
 from jackdawsill.daemon._errors import HostStopped
+from jackdawsill.daemon._http_server import listening_socket
+from jackdawsill.daemon._links import LinkSet
 from jackdawsill.daemon._log_events import BAD_ANSWER, STARTED, STOPPED
+from jackdawsill.daemon._operator_server import OperatorServer
+from jackdawsill.daemon._plain_metrics import PlainMetrics
+from jackdawsill.daemon._platform import PlatformReader
 
 
 class HostProcess:
-    """Run one host in the current loop; several may run in one process."""
+    """Run one host in the current loop; several may run in one process.
+
+    `state` replaces the state that `build_state` makes, for embedding and tests.
+    """
 
     def __init__(
         self,
@@ -38,51 +51,72 @@
     ) -> None:
         self.cfg = cfg
         self.rng = rng or random.Random()
-        self.state = state or build_state(cfg, self.rng)
-        self.driver = Driver(self.state)
-        self.callers = CallerServer(self.driver)
-        self.backends = BackendClient(
-            self._on_outcome, f"{self.rng.getrandbits(32):08x}-"
-        )
+        self.state = state
         self.exited = asyncio.Event()
-        self.driver.actions.update(
-            {
-                SendSub: self.backends.send,
-                CancelSub: self.backends.cancel,
-                Deliver: self.callers.replies.deliver,
-                Refuse: self.callers.replies.refuse,
-                SetReadiness: self.callers.set_readiness,
-                Count: self._count,
-                Observe: self._observe,
-                Exit: self._exit,
-            }
-        )
+        self.metrics = PlainMetrics()
+        self._ending: asyncio.Task | None = None
+        self._stopped = False
 
     @property
     def caller_address(self) -> str:
         """Return host:port of the callers' server."""
         return f"{self.cfg.host.address}:{self.callers.http.port_}"
 
+    @property
+    def operator_address(self) -> str:
+        """Return host:port of the operators' server."""
+        return f"{self.cfg.host.address}:{self.operators.http.port_}"
+
+    @property
+    def peer_address(self) -> str:
+        """Return host:port of the peer listener."""
+        return f"{self.cfg.host.address}:{self.links.port_}"
+
     async def start(self) -> None:
         """Open all ports, then send the first tick."""
         host = self.cfg.host
+        # The peer port is part of this host's identity, so it is bound first.
+        peer_socket = listening_socket(host.address, host.peer_port)
+        peer_port = peer_socket.getsockname()[1]
+        if self.state is None:
+            self.state = build_state(self.cfg, self.rng, peer_port)
+        self.driver = Driver(self.state)
+        self.callers = CallerServer(self.driver)
+        self.operators = OperatorServer(self.driver, self._status, self.metrics.render)
+        self.links = LinkSet(self.driver)
+        tag = f"{self.rng.getrandbits(32):08x}-"
+        self.backends = BackendClient(self._on_outcome, tag)
+        platform = self.cfg.platform
+        self.platform = PlatformReader(
+            self.driver, platform.config_url, platform.host_list_url
+        )
+        self._register_actions()
         await self.backends.start()
+        await self.platform.start()
+        await self.links.start(peer_socket)
+        await self.operators.http.start(host.address, host.operator_port)
         await self.callers.http.start(host.address, host.caller_port)
         self.driver.start()
         self.driver.log(
             STARTED,
             name=host.name,
             caller_port=self.callers.http.port_,
-            operator_port=0,
-            peer_port=0,
+            operator_port=self.operators.http.port_,
+            peer_port=self.links.port_,
         )
 
     async def stop(self) -> None:
         """Close everything; callers that still wait get `outcome_unknown`."""
+        if self._stopped:
+            return
+        self._stopped = True
         self.driver.stop()
         self.callers.replies.refuse_all(HostStopped("the host stopped"))
         await self.callers.http.stop()
+        await self.links.stop()
         await self.backends.stop()
+        await self.platform.stop()
+        await self.operators.http.stop()
         self.driver.log(STOPPED, name=self.state.name)
         self.exited.set()
 
@@ -90,6 +124,36 @@
         """Ask for a graceful stop; `exited` is set at its end."""
         self.driver.feed(StopRequested())
 
+    def _register_actions(self) -> None:
+        """Fill the driver's table of actions."""
+        self.driver.actions.update(
+            {
+                SendSub: self.backends.send,
+                CancelSub: self.backends.cancel,
+                Deliver: self.callers.replies.deliver,
+                Refuse: self.callers.replies.refuse,
+                SetReadiness: self.callers.set_readiness,
+                OpenLink: self.links.open,
+                CloseLink: self.links.close,
+                SendPeer: self.links.send,
+                ReadConfig: self.platform.read_config,
+                ReadHostList: self.platform.read_host_list,
+                Count: self.metrics.count,
+                Observe: self.metrics.observe,
+                Exit: self._exit,
+            }
+        )
+
+    def _status(self) -> dict[str, Any]:
+        """Return the daemon's own section of `/status`."""
+        return {
+            "callers_waiting": len(self.callers.replies),
+            "subs_in_hand": len(self.backends),
+            "cancels_unsent": self.backends.n_cancels_unsent_,
+            "links": len(self.links),
+            "ready": self.callers.ready_,
+        }
+
     def _on_outcome(self, sub: SendSub, outcome: Outcome) -> None:
         """Feed the event of a sub-request."""
         if isinstance(outcome, SubFailed) and outcome.kind is FailureKind.BAD_ANSWER:
@@ -98,12 +162,7 @@
             )
         self.driver.feed(outcome)
 
-    def _count(self, effect: Count) -> None:
-        pass
-
-    def _observe(self, effect: Observe) -> None:
-        pass
-
     def _exit(self, effect: Exit) -> None:
-        """End after the replies that are queued were written."""
-        self.exited.set()
+        """End after the queued replies and messages were written."""
+        if self._ending is None:
+            self._ending = asyncio.get_running_loop().create_task(self.stop())
--- a/jackdawsill/daemon/tests/test_process.py
+++ b/jackdawsill/daemon/tests/test_process.py
@@ -1,59 +1,118 @@
 """Tests of a host over loopback."""
 
-import random
-import unittest
-from types import SimpleNamespace
+import asyncio
 
 import aiohttp
 
-from jackdawsill.daemon import HostProcess
-from jackdawsill.daemon.tests._scatter import TOKEN, Scatter, object_set
-from jackdawsill.standins import BackendServer
+from jackdawsill.core import (
+    HANDLERS,
+    CallerLeft,
+    QueryArrived,
+    StopRequested,
+    SubAnswered,
+)
+from jackdawsill.daemon.tests._fixtures import WAIT_S, HostCase
+from jackdawsill.standins import Wrong
 
 
-def settings(name: str = "h1") -> SimpleNamespace:
-    """Return settings with ports chosen by the kernel."""
-    host = SimpleNamespace(
-        name=name,
-        failure_domain="bogota",
-        region="andes",
-        address="127.0.0.1",
-        caller_port=0,
-        operator_port=0,
-        peer_port=0,
-        fleet_key="k",
-    )
-    return SimpleNamespace(host=host)
-
-
-class TestQueryOverHttp(unittest.IsolatedAsyncioTestCase):
+class TestQueryOverHttp(HostCase):
     """Guards the path from a caller through the reducer to backend servers."""
 
-    async def asyncSetUp(self):
-        self.backends = [BackendServer() for _ in range(5)]
-        for backend in self.backends:
-            await backend.start()
-            self.addAsyncCleanup(backend.stop)
-        self.scatter = Scatter()
-        self.scatter.patch.start()
-        self.addCleanup(self.scatter.patch.stop)
-        self.host = HostProcess(settings(), rng=random.Random(1))
-        self.host.state.objects_ = object_set([b.address for b in self.backends])
-        await self.host.start()
-        self.addAsyncCleanup(self.host.stop)
-        self.session = aiohttp.ClientSession(f"http://{self.host.caller_address}")
-        self.addAsyncCleanup(self.session.close)
-
     async def test_answer_covers_all_shards(self):
         """Guards against a host that cannot answer a query at all."""
-        async with self.session.post(
-            "/v1/query/dielines",
-            json={"text": "box"},
-            headers={"Authorization": f"Bearer {TOKEN}", "X-Request-Id": "r1"},
-        ) as resp:
-            answer = await resp.json()
-        self.assertEqual(resp.status, 200, answer)
+        status, answer = await self.query(X_Request_Id="r1")
+        self.assertEqual(status, 200, answer)
         self.assertEqual(answer["request_id"], "r1")
         self.assertTrue(answer["complete"])
-        self.assertEqual(answer["covered"], ["s00", "s01", "s02", "s03", "s04"])
-        self.assertEqual(len(answer["items"]), 5)
+        self.assertEqual(answer["covered"], ["s00", "s01", "s02"])
+        self.assertEqual(len(answer["items"]), 3)
+
+    async def test_wrong_answer_is_not_covered(self):
+        """Guards against coverage that names a shard whose answer was discarded."""
+        self.backends[1].script.wrong = Wrong.OTHER_REQUEST
+        _, answer = await self.query()
+        self.assertEqual(answer["covered"], ["s00", "s02"])
+        self.assertEqual(answer["missing"], [{"shard": "s01", "reason": "bad_answer"}])
+
+    async def test_each_caller_gets_its_own_answer(self):
+        """Guards against answers that change places when they come out of order."""
+        self.backends[0].script.n_slots = 8
+        gate = self.backends[0].gate = asyncio.Event()
+        bodies = [b'{"n": %d}' % n for n in range(8)]
+        tasks = [
+            asyncio.create_task(self.query(body, X_Request_Id=f"r{n}"))
+            for n, body in enumerate(bodies)
+        ]
+        await asyncio.wait_for(self.backends[0].arrived.wait(), WAIT_S)
+        gate.set()
+        got = [answer["request_id"] for _, answer in await asyncio.gather(*tasks)]
+        self.assertEqual(got, [f"r{n}" for n in range(8)])
+
+    async def test_caller_that_leaves_cancels_its_work(self):
+        """Guards against backend work that goes on for a caller that has left."""
+        for backend in self.backends:
+            backend.gate = asyncio.Event()
+        cancelled = asyncio.Event()
+        before = HANDLERS[CallerLeft][0]
+
+        def on_left(state, event, now):
+            cancelled.set()
+            return before(state, event, now)
+
+        HANDLERS[CallerLeft] = [on_left]
+        task = asyncio.create_task(self.query())
+        await asyncio.wait_for(self.backends[0].arrived.wait(), WAIT_S)
+        task.cancel()
+        await asyncio.wait_for(cancelled.wait(), WAIT_S)
+
+    async def test_failed_handler_gives_a_typed_refusal(self):
+        """Guards against a caller that waits for ever after a fault in a handler."""
+        HANDLERS[QueryArrived] = [lambda state, event, now: 1 / 0]
+        status, answer = await self.query()
+        self.assertEqual(status, 500)
+        self.assertEqual(answer["error"]["name"], "InternalFault")
+        self.assertEqual(answer["error"]["outcome"], "not_run")
+        HANDLERS[QueryArrived] = [self.scatter.on_query]
+        self.assertEqual((await self.query())[0], 200)
+
+
+class TestStop(HostCase):
+    """Guards against requests that a stop cuts off."""
+
+    async def test_exit_writes_replies_in_hand(self):
+        """Guards against a reply that is lost because the host exits with it."""
+        gate = self.backends[0].gate = asyncio.Event()
+        task = asyncio.create_task(self.query())
+        await asyncio.wait_for(self.backends[0].arrived.wait(), WAIT_S)
+        deliver = self.scatter.on_answered
+
+        def answer_then_exit(state, event, now):
+            effects = deliver(state, event, now)
+            if effects:
+                effects.extend(HANDLERS[StopRequested][0](state, event, now))
+            return effects
+
+        HANDLERS[SubAnswered] = [answer_then_exit]
+        gate.set()
+        status, answer = await asyncio.wait_for(task, WAIT_S)
+        self.assertEqual(status, 200)
+        self.assertTrue(answer["complete"])
+        await asyncio.wait_for(self.host.exited.wait(), WAIT_S)
+
+    async def test_stop_refuses_waiting_callers_truthfully(self):
+        """Guards against a hard stop that says not_run of work that was sent."""
+        self.backends[0].gate = asyncio.Event()
+        task = asyncio.create_task(self.query())
+        await asyncio.wait_for(self.backends[0].arrived.wait(), WAIT_S)
+        await self.host.stop()
+        status, answer = await asyncio.wait_for(task, WAIT_S)
+        self.assertEqual(status, 503)
+        self.assertEqual(answer["error"]["outcome"], "outcome_unknown")
+
+    async def test_port_is_closed_after_stop(self):
+        """Guards against a stopped host that still takes requests."""
+        await self.query()
+        self.host.request_stop()
+        await asyncio.wait_for(self.host.exited.wait(), WAIT_S)
+        with self.assertRaises(aiohttp.ClientConnectorError):
+            await self.query()
--- a/jackdawsill/standins/__init__.py
+++ b/jackdawsill/standins/__init__.py
@@ -7,12 +7,16 @@
     Wrong,
     echo_items,
 )
+from jackdawsill.standins._config_service import ConfigService
+from jackdawsill.standins._host_list import HostList
 from jackdawsill.standins._listener import LOOPBACK, Listener
 
 __all__ = [
     "LOOPBACK",
     "BackendScript",
     "BackendServer",
+    "ConfigService",
+    "HostList",
     "Listener",
     "Run",
     "Wrong",
--- a/jackdawsill/standins/_backend.py
+++ b/jackdawsill/standins/_backend.py
@@ -119,6 +119,7 @@
         parts = request.path.split("/")
         if request.method == "POST" and parts[:2] == ["", "v1"] and len(parts) == 4:
             body = await request.read()
+            await self._connect_delay(request)
             if parts[2] == "shard":
                 return await self._shard(request, parts[3], body)
             if parts[2] == "cancel":
@@ -131,6 +132,15 @@
             return web.json_response({"running": running, "slots": self.script.n_slots})
         return web.Response(status=404)
 
+    async def _connect_delay(self, request: web.BaseRequest) -> None:
+        """Add the cost of opening a connection to its first request."""
+        server, transport = self.listener.server_, request.transport
+        if self.script.connect_ms <= 0 or server is None or transport is None:
+            return
+        if transport not in server.greeted_:
+            server.greeted_.add(transport)
+            await asyncio.sleep(self.script.connect_ms / 1000.0)
+
     def _refusal(self, reason: str, *, close: bool = False) -> web.Response:
         """Return a 503 that says that the sub-request was not run."""
         response = web.Response(status=503, headers={"X-Refusal": reason})
--- a/jackdawsill/standins/_listener.py
+++ b/jackdawsill/standins/_listener.py
@@ -17,6 +17,7 @@
     def __init__(self, handler: Handler) -> None:
         super().__init__(handler, access_log=None)
         self.transports_: dict[object, asyncio.Transport] = {}
+        self.greeted_: set[asyncio.Transport] = set()  # past their first request
         self.n_accepted_ = 0
 
     def connection_made(self, handler, transport) -> None:
@@ -28,7 +29,9 @@
     def connection_lost(self, handler, exc=None) -> None:
         """Forget a closed connection."""
         super().connection_lost(handler, exc)
-        self.transports_.pop(handler, None)
+        transport = self.transports_.pop(handler, None)
+        if transport is not None:
+            self.greeted_.discard(transport)
 
     def position(self, transport: asyncio.Transport) -> int:
         """Return how many older connections are open."""
