--- /dev/null
+++ b/jackdawsill/daemon/tests/test_platform.py
@@ -0,0 +1,116 @@
+"""Tests of the platform readers against the stand-ins."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from jackdawsill.core import (
+    HANDLERS,
+    ConfigRead,
+    ConfigReadFailed,
+    HostEntry,
+    HostListRead,
+    HostState,
+    ReadConfig,
+    ReadHostList,
+)
+from jackdawsill.daemon._driver import Driver
+from jackdawsill.daemon._platform import PlatformReader
+from jackdawsill.daemon.tests._fixtures import WAIT_S, RawServer
+from jackdawsill.standins import ConfigService, HostList
+
+
+class TestPlatformReader(unittest.IsolatedAsyncioTestCase):
+    """Guards the reads of configuration and host list."""
+
+    async def asyncSetUp(self):
+        self.events: asyncio.Queue = asyncio.Queue()
+
+        def record(state, event, now):
+            self.events.put_nowait(event)
+            return []
+
+        kinds = (ConfigRead, ConfigReadFailed, HostListRead)
+        patch = mock.patch.dict(HANDLERS, {k: [record] for k in kinds}, clear=True)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.config, self.hosts = ConfigService(), HostList()
+        for standin in (self.config, self.hosts):
+            await standin.start()
+            self.addAsyncCleanup(standin.stop)
+        self.reader = await self.start_reader(self.config.url, self.hosts.url)
+
+    async def start_reader(self, config_url, host_list_url):
+        """Start a reader of the given services."""
+        driver = Driver(HostState("h1", "bogota", random.Random(1)))
+        reader = PlatformReader(driver, config_url, host_list_url)
+        await reader.start()
+        self.addAsyncCleanup(reader.stop)
+        return reader
+
+    async def read(self, key, **kwargs):
+        """Read a key; return the event."""
+        self.reader.read_config(ReadConfig(key, **kwargs))
+        return await asyncio.wait_for(self.events.get(), WAIT_S)
+
+    async def test_values(self):
+        """Guards against changed bytes, lost versions and odd keys."""
+        value = bytes(range(256)) * 4096
+        self.config.publish({"a b/c?": value, "manifest": b"m"})
+        self.assertEqual(await self.read("a b/c?"), ConfigRead("a b/c?", value, "1"))
+        self.assertEqual(await self.read("manifest"), ConfigRead("manifest", b"m", "2"))
+        self.assertEqual(await self.read("none"), ConfigRead("none", None, ""))
+
+    async def test_watch_answers_at_a_change(self):
+        """Guards against a watch that misses a publication."""
+        self.config.publish({"manifest": b"1"})
+        self.reader.read_config(ReadConfig("manifest", WAIT_S, "1"))
+        self.reader.read_config(ReadConfig("manifest", WAIT_S, ""))
+        first = await asyncio.wait_for(self.events.get(), WAIT_S)
+        self.assertEqual(first.value, b"1")
+        self.config.publish({"manifest": b"2"})
+        second = await asyncio.wait_for(self.events.get(), WAIT_S)
+        self.assertEqual(second, ConfigRead("manifest", b"2", "2"))
+
+    async def test_service_down_stale_and_limited(self):
+        """Guards against a service fault that looks like an absent key."""
+        self.config.publish({"manifest": b"1"})
+        self.config.down = True
+        self.assertIsInstance(await self.read("manifest"), ConfigReadFailed)
+        self.config.down = False
+        self.config.freeze()
+        self.config.publish({"manifest": b"2"})
+        self.assertEqual((await self.read("manifest")).value, b"1")
+        self.config.thaw()
+        self.assertEqual((await self.read("manifest")).value, b"2")
+        self.config.reads_per_s = 0.0
+        failed = await self.read("manifest")
+        self.assertEqual(failed, ConfigReadFailed("manifest", "status 429"))
+
+    async def test_oversize_value(self):
+        """Guards against a value that fills the memory of the host."""
+        raw = RawServer(b"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n")
+        url = f"http://{await raw.start()}"
+        self.addAsyncCleanup(raw.stop)
+        self.reader = await self.start_reader(url, url)
+        self.assertIsInstance(await self.read("manifest"), ConfigReadFailed)
+
+    async def test_host_list(self):
+        """Guards against a list that is not checked, or ends the reads."""
+        raw = RawServer(b'HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n[{"a":1}]')
+        url = f"http://{await raw.start()}"
+        self.addAsyncCleanup(raw.stop)
+        bad = await self.start_reader(url, url)
+        bad.read_host_list(ReadHostList())
+        entries = (HostEntry("h1", "10.0.0.1:7000", "cali", True),)
+        self.hosts.set_entries(entries)
+        self.reader.read_host_list(ReadHostList())
+        read = await asyncio.wait_for(self.events.get(), WAIT_S)
+        self.assertEqual(read, HostListRead(entries))
+        self.hosts.frozen = True
+        self.hosts.set_entries(())
+        self.reader.read_host_list(ReadHostList())
+        read = await asyncio.wait_for(self.events.get(), WAIT_S)
+        self.assertEqual(read, HostListRead(entries))
+        self.assertTrue(self.events.empty())
