--- a/jackdawsill/core/__init__.py
+++ b/jackdawsill/core/__init__.py
@@ -57,12 +57,25 @@
     reduce,
 )
 from jackdawsill.core._state import HostState
+from jackdawsill.core._views import (
+    EXPLAINS,
+    REPORTS,
+    STATUS_SECTIONS,
+    explain,
+    explains,
+    report,
+    status,
+    status_section,
+)
 
 __all__ = [
+    "EXPLAINS",
     "GATES",
     "HANDLERS",
     "NOT_RUN_KINDS",
     "PAUSE_LIMIT_S",
+    "REPORTS",
+    "STATUS_SECTIONS",
     "TICK_S",
     "Answer",
     "CallerLeft",
@@ -107,7 +120,12 @@
     "Tick",
     "TicketsMoved",
     "TimerFired",
+    "explain",
+    "explains",
     "gates",
     "handles",
     "reduce",
+    "report",
+    "status",
+    "status_section",
 ]
