Run the fault matrix on the real components

Change: assembly of one host in one place, used by the daemon and the matrix; 'make matrix' prints a line for each cell. Conclusion: two faults found: a resend with a ticket after a lost entitlement is refused as not run, and ticketed requests do not spread notices of draining replicas.

--- /dev/null
+++ b/jackdawsill/assembly.py
@@ -0,0 +1,35 @@
+"""Assembly of one host's state from its decision components."""
+
+import random
+from collections.abc import Iterable
+
+from jackdawsill.core import HostState
+from jackdawsill.membership import Member, MemberTable
+from jackdawsill.quarantine import Quarantine
+from jackdawsill.query import attach_query_parts
+from jackdawsill.spread import ConfigSpread, LoadBundle
+from jackdawsill.stopping import Stopping
+from jackdawsill.tickets import TicketOffice
+
+
+def assemble_host(
+    member: Member,
+    rng: random.Random,
+    load_bundle: LoadBundle,
+    fleet_key: bytes,
+    seeds: Iterable[str] = (),
+) -> HostState:
+    """Return the state of a new process with one object of each component."""
+    state = HostState(member.name, member.failure_domain, rng)
+    state.attach(MemberTable(member, fleet_key, seeds))
+    state.attach(ConfigSpread(load_bundle))
+    state.attach(Quarantine())
+    state.attach(Stopping())
+    state.attach(TicketOffice())
+    attach_query_parts(state, member.incarnation)
+    return state
+
+
+def new_incarnation(rng: random.Random) -> str:
+    """Return a random 128-bit id of a process."""
+    return f"{rng.getrandbits(128):032x}"
--- a/jackdawsill/daemon/_build.py
+++ b/jackdawsill/daemon/_build.py
@@ -3,12 +3,10 @@
 import random
 from typing import Any
 
+from jackdawsill.assembly import assemble_host, new_incarnation
 from jackdawsill.core import HostState
-from jackdawsill.membership import Member, MemberTable
-from jackdawsill.quarantine import Quarantine
-from jackdawsill.spread import ConfigSpread
-from jackdawsill.stopping import Stopping
-from jackdawsill.tickets import TicketOffice
+from jackdawsill.membership import Member
+from jackdawsill.objects import load_bundle
 
 
 def build_state(
@@ -19,13 +17,11 @@
     `peer_port` is the bound port, where the settings let the kernel choose it.
     """
     host = cfg.host
-    state = HostState(host.name, host.failure_domain, rng)
-    incarnation = f"{rng.getrandbits(128):032x}"
-    address = f"{host.address}:{peer_port or host.peer_port}"
-    member = Member(incarnation, host.name, address, host.failure_domain)
-    state.attach(MemberTable(member))
-    state.attach(ConfigSpread())
-    state.attach(Stopping())
-    state.attach(TicketOffice())
-    state.attach(Quarantine())
-    return state
+    member = Member(
+        incarnation=new_incarnation(rng),
+        name=host.name,
+        address=f"{host.address}:{peer_port or host.peer_port}",
+        failure_domain=host.failure_domain,
+    )
+    seeds = tuple(str(seed) for seed in cfg.platform.seeds)
+    return assemble_host(member, rng, load_bundle, host.fleet_key.encode(), seeds)
--- /dev/null
+++ b/jackdawsill/matrix/__main__.py
@@ -0,0 +1,56 @@
+"""Run the fault matrix from the command line."""
+
+import random
+import sys
+import time
+
+import fire
+
+from jackdawsill.matrix._build import build_host
+from jackdawsill.matrix._cells import (
+    Cell,
+    CellResult,
+    double_cells,
+    pair_cells,
+    run_cell,
+    single_cells,
+)
+
+
+def run(
+    pairs: int = 200, doubles: bool = True, match: str = "", seed: int | None = None
+) -> None:
+    """Run all single cells, each fault twice, and a sample of `pairs` pairs."""
+    cells = list(single_cells())
+    if doubles:
+        cells += list(double_cells())
+    cells += random.Random(seed or 0).sample(list(pair_cells()), pairs)
+    chosen = [cell for cell in cells if match in cell.name]
+    started_s = time.monotonic()
+    results = [run_and_print(cell, seed) for cell in chosen]
+    n_red = sum(bool(r.violations) for r in results)
+    n_unreached = sum(r.n_struck < len(r.cell.strikes) for r in results)
+    print(
+        f"{len(results)} cells in {time.monotonic() - started_s:.0f} s, "
+        f"{n_unreached} with a step that was not reached, {n_red} red"
+    )
+    sys.exit(1 if n_red else 0)
+
+
+def run_and_print(cell: Cell, seed: int | None) -> CellResult:
+    """Run one cell and print a line for it."""
+    result = run_cell(cell, build_host, seed)
+    reached = f"{result.n_struck}/{len(cell.strikes)}"
+    verdict = "RED " if result.violations else "pass"
+    print(
+        f"{verdict} {cell.name} (seed {cell.seed if seed is None else seed}, "
+        f"struck {reached}, {result.n_answers} answers, "
+        f"{result.n_refusals} refusals, {result.n_runs} runs)"
+    )
+    for violation in result.violations:
+        print(f"     {violation}")
+    return result
+
+
+if __name__ == "__main__":
+    fire.Fire(run, name="matrix")
--- a/jackdawsill/matrix/_backends.py
+++ b/jackdawsill/matrix/_backends.py
@@ -32,7 +32,7 @@
     def __init__(self, backends: dict[str, FakeBackend]) -> None:
         self.backends = backends
         self.in_flight: dict[tuple[str, int, int], SubInFlight] = {}
-        self.sent: set[tuple[str, str]] = set()
+        self.sent: set[tuple[bytes, str]] = set()
         self.duplicate_answers = False
         self.foreign_answers = False
         self.world: World | None = None
@@ -48,7 +48,7 @@
         call = SubInFlight(host, sub)
         self.in_flight[(host.name, host.epoch, sub.sub_id)] = call
         world.fire("connect" if sub.repeatable else "spend", host, sub)
-        key = (sub.request_id, sub.shard)
+        key = (sub.body, sub.shard)
         if key in self.sent and sub.repeatable:
             world.fire("hedge", host, sub)
         self.sent.add(key)
