--- a/jackdawsill/core/_reducer.py
+++ b/jackdawsill/core/_reducer.py
@@ -19,14 +19,23 @@
 Gate = Callable[["HostState", E, float], bool]
 
 HANDLERS: dict[type[Event], list[Handler]] = {}
+NEEDS: dict[Handler, type] = {}
 GATES: dict[type[Event], list[Gate]] = {}
 
 
-def handles(event_type: type[E]) -> Callable[[Handler], Handler]:
-    """Return a decorator that registers a handler of `event_type`."""
+def handles(
+    event_type: type[E], needs: type | None = None
+) -> Callable[[Handler], Handler]:
+    """Return a decorator that registers a handler of `event_type`.
+
+    The handler is skipped on hosts without a component of the class `needs`, so
+    that components can be embedded alone.
+    """
 
     def decorate(handler: Handler) -> Handler:
         HANDLERS.setdefault(event_type, []).append(handler)
+        if needs is not None:
+            NEEDS[handler] = needs
         return handler
 
     return decorate
@@ -61,6 +70,8 @@
         if not all(gate(state, current, now) for gate in GATES.get(type(current), ())):
             continue
         for handler in HANDLERS.get(type(current), ()):
+            if handler in NEEDS and NEEDS[handler] not in state.parts_:
+                continue
             for effect in handler(state, current, now):
                 if isinstance(effect, Raise):
                     pending.append(effect.event)
--- a/jackdawsill/hedging/_handlers.py
+++ b/jackdawsill/hedging/_handlers.py
@@ -5,7 +5,7 @@
 from jackdawsill.hedging._policy import HedgePolicy
 
 
-@handles(SetAccepted)
+@handles(SetAccepted, needs=HedgePolicy)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Forget services and callers that the new set does not contain."""
     if state.objects_ is not None:
--- a/jackdawsill/limits/_handlers.py
+++ b/jackdawsill/limits/_handlers.py
@@ -7,7 +7,7 @@
 from jackdawsill.membership import MemberTable
 
 
-@handles(Tick)
+@handles(Tick, needs=ConnectionShares)
 def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
     """Follow the view of the fleet; comparing it costs microseconds per tick."""
     shares = state.part(ConnectionShares)
@@ -20,7 +20,7 @@
     return []
 
 
-@handles(SetAccepted)
+@handles(SetAccepted, needs=ConnectionShares)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Take capacities from the new set."""
     if state.objects_ is not None:
--- a/jackdawsill/query/_handlers.py
+++ b/jackdawsill/query/_handlers.py
@@ -26,7 +26,7 @@
 TIMER_PREFIX = "query:"
 
 
-@handles(QueryArrived)
+@handles(QueryArrived, needs=QueryTable)
 def on_query_arrived(state: HostState, event: QueryArrived, now: float) -> list[Effect]:
     """Check a request, then start, queue or refuse it."""
     out: list[Effect] = []
@@ -34,7 +34,7 @@
     return out
 
 
-@handles(QueryStarted)
+@handles(QueryStarted, needs=QueryTable)
 def on_query_started(state: HostState, event: QueryStarted, now: float) -> list[Effect]:
     """Bind a query and send its sub-requests."""
     out: list[Effect] = []
@@ -44,7 +44,7 @@
     return _finish_done(state, now, out)
 
 
-@handles(QueryExpired)
+@handles(QueryExpired, needs=QueryTable)
 def on_query_expired(state: HostState, event: QueryExpired, now: float) -> list[Effect]:
     """Refuse a query that can no longer finish; nothing of it was sent."""
     out: list[Effect] = []
@@ -54,7 +54,7 @@
     return _finish_done(state, now, out)
 
 
-@handles(SubAnswered)
+@handles(SubAnswered, needs=QueryTable)
 def on_sub_answered(state: HostState, event: SubAnswered, now: float) -> list[Effect]:
     """Take an answer of a backend server."""
     out: list[Effect] = []
@@ -62,7 +62,7 @@
     return _finish_done(state, now, out)
 
 
-@handles(SubFailed)
+@handles(SubFailed, needs=QueryTable)
 def on_sub_failed(state: HostState, event: SubFailed, now: float) -> list[Effect]:
     """Take a failure of a sub-request."""
     out: list[Effect] = []
@@ -70,7 +70,7 @@
     return _finish_done(state, now, out)
 
 
-@handles(CallerLeft)
+@handles(CallerLeft, needs=QueryTable)
 def on_caller_left(state: HostState, event: CallerLeft, now: float) -> list[Effect]:
     """Cancel everything of a query whose caller is gone."""
     out: list[Effect] = []
@@ -80,7 +80,7 @@
     return _finish_done(state, now, out)
 
 
-@handles(TimerFired)
+@handles(TimerFired, needs=QueryTable)
 def on_timer_fired(state: HostState, event: TimerFired, now: float) -> list[Effect]:
     """End a query, send hedges or start a queued query."""
     if not event.timer_id.startswith(TIMER_PREFIX):
@@ -100,7 +100,7 @@
     return _finish_done(state, now, out)
 
 
-@handles(Tick)
+@handles(Tick, needs=QueryTable)
 def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
     """Look again at shards that wait; costs nothing when none does."""
     table = state.part(QueryTable)
@@ -115,7 +115,7 @@
     return _finish_done(state, now, out)
 
 
-@handles(PauseDetected)
+@handles(PauseDetected, needs=QueryTable)
 def on_pause(state: HostState, event: PauseDetected, now: float) -> list[Effect]:
     """Drop work that is past its deadline before anything else is sent."""
     table = state.part(QueryTable)
--- a/jackdawsill/routing/_handlers.py
+++ b/jackdawsill/routing/_handlers.py
@@ -31,7 +31,7 @@
     ]
 
 
-@handles(PeerMessageRead)
+@handles(PeerMessageRead, needs=ReplicaTable)
 def on_leaving_notice(
     state: HostState, event: PeerMessageRead, now: float
 ) -> list[Effect]:
@@ -54,7 +54,7 @@
     ]
 
 
-@handles(SetAccepted)
+@handles(SetAccepted, needs=ReplicaTable)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Forget replicas that the new set does not contain."""
     if state.objects_ is not None:
--- a/jackdawsill/snapshots/_handlers.py
+++ b/jackdawsill/snapshots/_handlers.py
@@ -27,7 +27,7 @@
     ]
 
 
-@handles(PeerMessageRead)
+@handles(PeerMessageRead, needs=SnapshotTable)
 def on_servable_notice(
     state: HostState, event: PeerMessageRead, now: float
 ) -> list[Effect]:
@@ -45,7 +45,7 @@
     ]
 
 
-@handles(SetAccepted)
+@handles(SetAccepted, needs=SnapshotTable)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Forget snapshots that the new set does not publish."""
     if state.objects_ is not None:
