Add the quarantine of requests that crash backend servers

Cause: a request that crashes each backend server that runs it must be refused on all hosts, while the loss of a failure domain must condemn no popular query.

--- a/jackdawsill/quarantine/__init__.py
+++ b/jackdawsill/quarantine/__init__.py
@@ -1,5 +1,26 @@
 """Requests that crash backend servers: suspicion, canaries and refusal."""
 
-from jackdawsill.quarantine._quarantine import Quarantine, Verdict, fingerprint
+from jackdawsill.quarantine import _handlers  # noqa: F401 - registers the handlers
+from jackdawsill.quarantine._messages import (
+    CondemnedItem,
+    CrashItem,
+    QuarantineNotice,
+    SuspicionNotice,
+)
+from jackdawsill.quarantine._quarantine import (
+    QUARANTINE_S,
+    Quarantine,
+    Verdict,
+    fingerprint,
+)
 
-__all__ = ["Quarantine", "Verdict", "fingerprint"]
+__all__ = [
+    "QUARANTINE_S",
+    "CondemnedItem",
+    "CrashItem",
+    "Quarantine",
+    "QuarantineNotice",
+    "SuspicionNotice",
+    "Verdict",
+    "fingerprint",
+]
--- /dev/null
+++ b/jackdawsill/quarantine/_handlers.py
@@ -0,0 +1,75 @@
+"""Reducer handlers of the quarantine."""
+
+from jackdawsill.core import (
+    Effect,
+    HostState,
+    PeerMessageRead,
+    SendPeer,
+    SetAccepted,
+    Tick,
+    handles,
+)
+from jackdawsill.membership import MemberTable, PeerUp
+from jackdawsill.quarantine._messages import QuarantineNotice, SuspicionNotice
+from jackdawsill.quarantine._notices import MAX_PER_MESSAGE
+from jackdawsill.quarantine._quarantine import Quarantine
+
+
+@handles(Tick)
+def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
+    """Expire what is over and send the notices that are due."""
+    quarantine = state.parts_.get(Quarantine)
+    if quarantine is None:
+        return []
+    quarantine.expire(now)
+    effects, quarantine.notes_ = quarantine.notes_, []
+    table = state.parts_.get(MemberTable)
+    if table is None or not table.links_:
+        return effects
+    condemned = quarantine.queued_condemned(now)
+    if condemned:
+        effects += table.broadcast(QuarantineNotice(tuple(condemned)))
+    crashes = quarantine.queued_crashes(now)
+    if crashes:
+        effects += table.broadcast(SuspicionNotice(tuple(crashes)))
+    return effects
+
+
+@handles(SetAccepted)
+def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
+    """Learn the failure domains of the replicas."""
+    quarantine = state.parts_.get(Quarantine)
+    if quarantine is not None and state.objects_ is not None:
+        replicas = state.objects_.replicas.values()
+        quarantine.domains_ = {r.name: r.failure_domain for r in replicas}
+    return []
+
+
+@handles(PeerUp)
+def on_peer_up(state: HostState, event: PeerUp, now: float) -> list[Effect]:
+    """Tell a new peer what is condemned, for it may have just started."""
+    quarantine = state.parts_.get(Quarantine)
+    if quarantine is None or event.brief:
+        return []
+    items = quarantine.condemned_items(now)
+    return [
+        SendPeer(event.link_id, QuarantineNotice(tuple(items[i : i + MAX_PER_MESSAGE])))
+        for i in range(0, len(items), MAX_PER_MESSAGE)
+    ]
+
+
+@handles(PeerMessageRead)
+def on_peer_message(
+    state: HostState, event: PeerMessageRead, now: float
+) -> list[Effect]:
+    """Take in the notices of peers; new ones are passed on by the next tick."""
+    quarantine = state.parts_.get(Quarantine)
+    if quarantine is None:
+        return []
+    if isinstance(event.message, SuspicionNotice):
+        for crash in event.message.items:
+            quarantine.on_peer_crash(crash, now)
+    elif isinstance(event.message, QuarantineNotice):
+        for condemned in event.message.items:
+            quarantine.on_peer_condemned(condemned, now)
+    return []
