Test the spread of configuration and the quarantine

Cause: spread under loss, refusal of damaged sets, joining and the conditions of a condemnation need tests that would fail with the fault that they guard against.

--- a/jackdawsill/membership/tests/network.py
+++ b/jackdawsill/membership/tests/network.py
@@ -8,11 +8,9 @@
 from typing import Any
 
 from jackdawsill import core
-from jackdawsill.core import TICK_S, HostState, reduce
+from jackdawsill.core import TICK_S, HostEntry, HostState, reduce
 from jackdawsill.membership import Member, MemberTable
 
-Part = Callable[[], Any]
-
 
 @dataclass
 class Node:
@@ -22,8 +20,7 @@
     member: Member
     alive: bool = True
     wakes_at: float = 0.0
-    log: list[int] = field(default_factory=list)
-    counts: dict[str, float] = field(default_factory=dict)
+    log: list[core.LogEvent] = field(default_factory=list)
     streams: dict[int, tuple["Node", int]] = field(default_factory=dict)
     last_at: dict[int, float] = field(default_factory=dict)
 
@@ -45,23 +42,18 @@
         self.sides: dict[str, int] = {}  # address -> side of a partition
         self.on_read: Callable[[Node, Any], Any] = lambda node, effect: None
         self.on_send: Callable[[Node, Any], None] = lambda node, message: None
-        self.listed = True  # the platform list names every live host
-        self.extra_entries: list[core.HostEntry] = []
+        self.extra_entries: list[HostEntry] = []  # on the platform list
 
-    def add(
-        self, address: str, domain: str, parts: tuple[Part, ...] = (), **table: Any
-    ) -> Node:
+    def add(self, address: str, domain: str, *parts: Any) -> Node:
         """Start a process at an address; an earlier one there is dead."""
-        for node in self.nodes:
-            if node.member.address == address:
-                self.kill(node)
+        for node in [n for n in self.nodes if n.member.address == address]:
+            self.kill(node)
         incarnation = f"{self.rng.getrandbits(128):032x}"
         name = f"{address}-{len(self.nodes)}"
         state = HostState(name, domain, random.Random(self.rng.random()))
         member = Member(incarnation, name, address, domain)
-        state.attach(MemberTable(member, **{"fleet_key": b"key", **table}))
-        for part in parts:
-            state.attach(part())
+        for part in (MemberTable(member, b"key"), *parts):
+            state.attach(part)
         node = Node(state, member)
         self.nodes.append(node)
         self.post(self.now + self.rng.uniform(0, TICK_S), node, core.Tick())
@@ -77,32 +69,26 @@
         """End a process; its machine closes the streams."""
         node.alive = False
         for peer, link_id in node.streams.values():
-            self.post(self.now + 0.002, peer, core.LinkClosed(link_id, "", "reset"))
-
-    def pause(self, node: Node, duration_s: float) -> None:
-        node.wakes_at = self.now + duration_s
+            self.post(self.now + 0.002, peer, core.LinkClosed(link_id, ""))
 
     def reachable(self, a: Node, b: Node) -> bool:
-        sides = self.sides
-        same = sides.get(a.member.address, 0) == sides.get(b.member.address, 0)
-        return same and a.alive and b.alive
+        sides = [self.sides.get(node.member.address, 0) for node in (a, b)]
+        return sides[0] == sides[1] and a.alive and b.alive
 
     def run(self, duration_s: float, until: Callable[[], bool] | None = None) -> bool:
         """Run for a time or until a condition holds at a tick; return the latter."""
         end = self.now + duration_s
         next_check = self.now
         while self.queue and self.queue[0][0] <= end:
-            if until is not None and self.queue[0][0] >= next_check:
-                self.now = self.queue[0][0]
-                next_check = self.now + TICK_S
+            self.now = at = self.queue[0][0]
+            if until is not None and at >= next_check:
+                next_check = at + TICK_S
                 if until():
                     return True
-            at, serial, node, event = heapq.heappop(self.queue)
-            self.now = at
-            if not node.alive:
-                continue
+            _, serial, node, event = heapq.heappop(self.queue)
             if at < node.wakes_at:
                 heapq.heappush(self.queue, (node.wakes_at, serial, node, event))
+            if not node.alive or at < node.wakes_at:
                 continue
             if isinstance(event, core.LinkClosed):
                 node.streams.pop(event.link_id, None)
@@ -126,29 +112,23 @@
                     self.post(at, peer, core.LinkClosed(peer_link, "", "eof"))
             case core.SendPeer(link_id, message):
                 self.send(node, link_id, message, delay_s)
-            case core.ReadHostList() if self.listed:
-                entries = [core.HostEntry(*e) for e in self.entries()]
-                listed = core.HostListRead((*entries, *self.extra_entries))
-                self.post(self.now + delay_s, node, listed)
+            case core.ReadHostList():
+                live = [node.member for node in self.live()]
+                listed = [HostEntry(m.name, m.address, m.failure_domain) for m in live]
+                read = core.HostListRead((*listed, *self.extra_entries))
+                self.post(self.now + delay_s, node, read)
             case core.ReadConfig():
                 answer = self.on_read(node, effect)
                 if answer is not None:
                     self.post(self.now + delay_s, node, answer)
-            case core.LogEvent(number):
-                node.log.append(number)
-            case core.Count(name, value):
-                node.counts[name] = node.counts.get(name, 0) + value
-
-    def entries(self) -> list[tuple[str, str, str]]:
-        members = [node.member for node in self.live()]
-        return [(m.name, m.address, m.failure_domain) for m in members]
+            case core.LogEvent():
+                node.log.append(effect)
 
     def open(self, node: Node, link_id: int, address: str, delay_s: float) -> None:
         peers = [n for n in self.live() if n.member.address == address]
         if not peers or not self.reachable(node, peers[0]):
-            refused = core.LinkClosed(link_id, address, "refused")
-            self.post(self.now + (delay_s if not peers else 5.0), node, refused)
-            return
+            at = self.now + (5.0 if peers else delay_s)
+            return self.post(at, node, core.LinkClosed(link_id, address, "refused"))
         peer, peer_link = peers[0], peers[0].state.next_id()
         node.streams[link_id] = (peer, peer_link)
         peer.streams[peer_link] = (node, link_id)
--- a/jackdawsill/membership/tests/test_membership.py
+++ b/jackdawsill/membership/tests/test_membership.py
@@ -246,7 +246,7 @@
         """Guards against a paused host that stays lost or acts on its old view."""
         network = start(3, 18, loss=0.05)
         node = network.nodes[1]
-        network.pause(node, 6.0)
+        node.wakes_at = network.now + 6.0
         self.assertTrue(network.run(5.5, holds_lost(network, node)))
         network.run(node.wakes_at - network.now)
         self.assertTrue(network.run(8.0, sees(network, 18)))
--- /dev/null
+++ b/jackdawsill/quarantine/tests/test_quarantine.py
@@ -0,0 +1,221 @@
+"""Tests of the quarantine."""
+
+import random
+import unittest
+
+from jackdawsill.core import HostState, SetAccepted, Tick, reduce
+from jackdawsill.membership.tests.network import FakeNetwork
+from jackdawsill.objects import ObjectSet, Replica
+from jackdawsill.quarantine import (
+    QUARANTINE_S,
+    CondemnedItem,
+    CrashItem,
+    Quarantine,
+    Verdict,
+    fingerprint,
+)
+from jackdawsill.quarantine._notices import NoticeQueue
+from jackdawsill.quarantine._quarantine import (
+    MAX_CONDEMNED,
+    MAX_STRONG,
+    MAX_WEAK,
+    SAME_CAUSE_S,
+    SUSPECT_S,
+)
+
+# Replicas a0 to a9 are in failure domain a, and so on.
+DOMAINS = {f"{domain}{i}": domain for domain in "abc" for i in range(10)}
+
+
+class QuarantineCase(unittest.TestCase):
+    """Base of the tests: a quarantine that knows the failure domains."""
+
+    def setUp(self):
+        self.quarantine = Quarantine()
+        self.quarantine.domains_ = DOMAINS
+
+    def verdict(self, name="p", now=1.0):
+        return self.quarantine.check(name, now)
+
+
+class TestEvidence(QuarantineCase):
+    """Guards what condemns a fingerprint."""
+
+    def test_second_crash_as_canary_condemns(self):
+        """Guards against poison requests that crash one replica after another."""
+        self.assertEqual(self.quarantine.on_crash("a0", ("p", "q"), 0.0), ())
+        self.assertEqual(self.verdict(), Verdict.SUSPECT)
+        self.assertEqual(self.quarantine.on_crash("b0", ("p",), 0.1), ("p",))
+        self.assertEqual(self.verdict(), Verdict.CONDEMNED)
+        self.assertEqual(self.verdict("q"), Verdict.SUSPECT)
+
+    def test_history_that_names_only_this_fingerprint_condemns(self):
+        """Guards against poison requests that are never run as canaries."""
+        self.quarantine.on_crash("a0", ("p",), 0.0, canary=False)
+        condemned = self.quarantine.on_crash("b0", ("p",), 0.1, canary=False)
+        self.assertEqual(condemned, ("p",))
+
+    def test_crashes_with_others_in_flight_condemn_nobody(self):
+        """Guards against popular queries that are in flight at every crash."""
+        for i in range(10):
+            names = ("popular", f"q{i}")
+            self.assertEqual(
+                self.quarantine.on_crash(f"{'abc'[i % 3]}{i}", names, i), ()
+            )
+
+    def test_one_replica_that_crashes_again_condemns_nobody(self):
+        """Guards against a faulty replica that makes every request look bad."""
+        for at in (0.0, 1.0, 30.0):
+            self.assertEqual(self.quarantine.on_crash("a0", ("p",), at), ())
+
+    def test_loss_of_a_failure_domain_condemns_nobody(self):
+        """Guards against the refusal of all popular queries after a rack is lost."""
+        for seed in range(20):
+            self.setUp()
+            rng = random.Random(seed)
+            popular = [f"q{i}" for i in range(8)]
+            now = 0.0
+            for i in range(60):
+                now += rng.uniform(0, 0.1)
+                names = tuple(rng.sample(popular, rng.randint(1, 3)))
+                lost = self.quarantine.on_crash(f"a{i % 10}", names, now)
+                self.assertEqual(lost, ())
+                # Canaries in the other domains succeed.
+                if rng.random() < 0.3:
+                    self.quarantine.on_success(rng.choice(popular), now)
+
+    def test_crashes_of_one_domain_at_different_times_are_independent(self):
+        """Guards against poison requests whose replicas share a failure domain."""
+        self.quarantine.on_crash("a0", ("p",), 0.0)
+        condemned = self.quarantine.on_crash("a1", ("p",), SAME_CAUSE_S + 1)
+        self.assertEqual(condemned, ("p",))
+
+    def test_success_clears_and_starts_the_history_anew(self):
+        """Guards against two unrelated crashes an hour of successes apart."""
+        self.quarantine.on_crash("a0", ("p",), 0.0)
+        self.quarantine.on_success("p", 0.2)
+        self.assertEqual(self.verdict(), Verdict.CLEAR)
+        self.assertEqual(self.quarantine.on_crash("b0", ("p",), 60.0), ())
+        self.assertEqual(self.verdict(now=60.0), Verdict.SUSPECT)
+
+    def test_success_of_a_sibling_in_flight_does_not_save_poison(self):
+        """Guards against shards that were sent earlier and hide a poison request."""
+        self.quarantine.on_crash("a0", ("p", "q"), 0.0)
+        self.quarantine.on_success("p", 0.01)
+        self.assertEqual(self.quarantine.on_crash("b0", ("p",), 0.05), ("p",))
+        self.setUp()
+        self.quarantine.on_crash("a0", ("p", "q"), 0.0)
+        self.quarantine.on_success("p", 0.01, canary=False)
+        self.assertEqual(self.verdict(), Verdict.SUSPECT)
+
+    def test_verdicts_expire(self):
+        """Guards against requests that are refused for ever."""
+        self.quarantine.on_crash("a0", ("p", "q"), 0.0)
+        self.quarantine.on_crash("b0", ("p",), 0.0)
+        self.assertEqual(self.verdict(now=QUARANTINE_S - 1), Verdict.CONDEMNED)
+        self.assertEqual(self.verdict(now=QUARANTINE_S), Verdict.CLEAR)
+        self.assertEqual(self.verdict("q", SUSPECT_S), Verdict.CLEAR)
+
+    def test_equal_bodies_have_one_fingerprint(self):
+        """Guards against a resend with other spacing or order of keys."""
+        first = fingerprint("r", b'{"a": 1, "b": [2]}')
+        self.assertEqual(first, fingerprint("r", b'{"b":[2],"a":1}'))
+        self.assertNotEqual(first, fingerprint("s", b'{"b":[2],"a":1}'))
+        for body in (b"", b"\xff", b"[" * 100_000):
+            self.assertEqual(fingerprint("r", body), fingerprint("r", body))
+
+
+class TestBounds(QuarantineCase):
+    """Guards the memory against a hostile stream of distinct fingerprints."""
+
+    def test_tables_stay_bounded(self):
+        """Guards against unbounded memory and against losing strong evidence."""
+        self.quarantine.on_crash("a0", ("p",), 0.0)
+        for i in range(3 * MAX_WEAK):
+            self.quarantine.on_crash("b0", (f"x{i}", f"y{i}"), 0.0)
+            self.quarantine.on_peer_condemned(CondemnedItem(f"c{i}", 9.0), 0.0)
+        self.assertEqual(len(self.quarantine.weak_), MAX_WEAK)
+        self.assertEqual(len(self.quarantine.condemned_), MAX_CONDEMNED)
+        self.assertEqual(self.verdict(), Verdict.SUSPECT)
+        for i in range(3 * MAX_STRONG):
+            self.quarantine.on_crash("b0", (f"z{i}",), 0.0)
+        self.assertEqual(len(self.quarantine.strong_), MAX_STRONG)
+        self.quarantine.expire(SUSPECT_S + 1)
+        self.assertFalse(self.quarantine.strong_ or self.quarantine.weak_)
+
+    def test_evidence_about_one_fingerprint_stays_bounded(self):
+        """Guards against one fingerprint that crashes many replicas."""
+        for i in range(100):
+            self.quarantine.on_crash(f"r{i}", ("p", f"q{i}"), 0.0)
+        self.assertLess(len(self.quarantine.weak_["p"].crashes), 5)
+
+    def test_notices_are_sent_at_a_bounded_rate(self):
+        """Guards the links when a lost domain makes everything suspect."""
+        queue = NoticeQueue(5.0, 20.0, 100)
+        for i in range(1000):
+            queue.put(i)
+        taken = [item for i in range(100) for item in queue.take(i * 0.1)]
+        self.assertLess(len(taken), 75)
+
+
+class TestNotices(QuarantineCase):
+    """Guards what hosts tell one another."""
+
+    def test_evidence_of_two_hosts_condemns(self):
+        """Guards against a caller that resends through another host."""
+        self.quarantine.on_peer_crash(CrashItem("p", "a0", 2.0, True, False), 3.0)
+        self.assertEqual(self.verdict(now=3.0), Verdict.SUSPECT)
+        self.assertEqual(self.quarantine.on_crash("b0", ("p",), 3.1), ("p",))
+
+    def test_reports_of_one_crash_by_many_hosts_are_one_piece(self):
+        """Guards against a popular query that many hosts had on one replica."""
+        for _ in range(10):
+            item = CrashItem("p", "a0", 0.5, True, True)
+            self.assertFalse(self.quarantine.on_peer_crash(item, 1.0))
+
+    def test_old_reports_do_not_suspect_a_cleared_fingerprint(self):
+        """Guards against suspicion that comes back after a success."""
+        self.quarantine.on_crash("a0", ("p",), 0.0)
+        self.quarantine.on_success("p", 1.0)
+        self.quarantine.on_peer_crash(CrashItem("p", "a1", 2.0, True, False), 2.0)
+        self.assertEqual(self.verdict(now=2.0), Verdict.CLEAR)
+
+    def test_condemnation_is_never_prolonged_by_copies(self):
+        """Guards against a fingerprint that hosts condemn for one another for ever."""
+        self.quarantine.on_peer_condemned(CondemnedItem("p", 5.0), 0.0)
+        self.quarantine.on_peer_condemned(CondemnedItem("p", 500.0), 1.0)
+        self.assertEqual(self.verdict(now=5.0), Verdict.CLEAR)
+
+    def test_condemnation_reaches_the_fleet_and_late_hosts(self):
+        """Guards against refusal at one host only."""
+        network = FakeNetwork(1)
+        for i in range(30):
+            network.add(f"h{i}", f"d{i % 3}", Quarantine())
+        network.run(6.0)
+        first = network.nodes[0].state.part(Quarantine)
+        first.on_crash("r0", ("p",), network.now)
+        network.run(1.0)
+        other = network.nodes[9].state.part(Quarantine)
+        self.assertEqual(other.check("p", network.now), Verdict.SUSPECT)
+        other.on_crash("r1", ("p",), network.now)
+        network.add("h40", "d0", Quarantine())
+
+        def everywhere():
+            found = {
+                n.state.part(Quarantine).check("p", network.now) for n in network.live()
+            }
+            return found == {Verdict.CONDEMNED}
+
+        self.assertTrue(network.run(5.0, everywhere))
+
+    def test_failure_domains_come_from_the_accepted_set(self):
+        """Guards against evidence that ignores where replicas are."""
+        state = HostState("h", "d", random.Random(1))
+        state.attach(Quarantine())
+        replicas = {n: Replica(n, "s", "x", 1, "d") for n in ("r0", "r1")}
+        state.objects_ = ObjectSet(1, "x", replicas=replicas)
+        reduce(state, SetAccepted(1, "x"), 0.0)
+        quarantine = state.part(Quarantine)
+        quarantine.on_crash("r0", ("p",), 0.0)
+        self.assertEqual(quarantine.on_crash("r1", ("p",), 0.1), ())
+        self.assertEqual(reduce(state, Tick(), 0.2), [])
--- a/jackdawsill/spread/tests/fakes.py
+++ b/jackdawsill/spread/tests/fakes.py
@@ -101,7 +101,7 @@
 
 def add_host(network: FakeNetwork, address: str, domain: str) -> Node:
     """Start a host with a spread."""
-    return network.add(address, domain, (lambda: ConfigSpread(load_bundle),))
+    return network.add(address, domain, ConfigSpread(load_bundle))
 
 
 def spread_of(node: Node) -> ConfigSpread:
--- /dev/null
+++ b/jackdawsill/spread/tests/test_spread.py
@@ -0,0 +1,422 @@
+"""Tests of the configuration spread."""
+
+import json
+import random
+import unittest
+
+from jackdawsill.core import (
+    HANDLERS,
+    Count,
+    HostEntry,
+    HostState,
+    PeerMessageRead,
+    ReadConfig,
+    SendPeer,
+    SetAccepted,
+    Tick,
+    handles,
+    reduce,
+)
+from jackdawsill.membership import DigestReply, Member, MemberTable
+from jackdawsill.membership.tests.network import FakeNetwork
+from jackdawsill.spread import (
+    CHUNK_BYTES,
+    MANIFEST_KEY,
+    ConfigSpread,
+    InvalidManifest,
+    ManifestReply,
+    ManifestRequest,
+    ServiceReader,
+    ValueChunk,
+    ValueRequest,
+    parse_manifest,
+)
+from jackdawsill.spread._handlers import N_WATCHERS, watchers
+from jackdawsill.spread._joining import ISOLATED_JOIN_S, JOIN_TIMEOUT_S
+from jackdawsill.spread._service import WATCH_GRACE_S, WATCH_S
+from jackdawsill.spread._serving import manifest_part, value_part
+from jackdawsill.spread.tests.fakes import (
+    FakeService,
+    add_host,
+    all_at,
+    load_bundle,
+    make_set,
+    spread_of,
+    start_fleet,
+)
+
+RNG = random.Random(7)
+
+
+def logged(network, number):
+    """Return the log events with a number on all hosts."""
+    return [e for n in network.nodes for e in n.log if e.number == number]
+
+
+class Source:
+    """A peer that gives a set to a spread under test."""
+
+    def __init__(self, spread, link_id, manifest, values):
+        self.spread, self.link_id = spread, link_id
+        self.holder = ConfigSpread(load_bundle)
+        content = json.loads(manifest)
+        self.holder.generation_ = content["generation"]
+        self.holder.digest_ = content["digest"]
+        self.holder.manifest_bytes_ = manifest
+        self.holder.values_ = {
+            key.removeprefix("set/"): data for key, data in values.items()
+        }
+        self.n_requests = 0
+
+    def offer(self, now):
+        return self.carry_out(
+            self.spread.on_offer(
+                self.link_id, self.holder.generation_, self.holder.digest_, RNG, now
+            ),
+            now,
+        )
+
+    def carry_out(self, effects, now):
+        """Answer the requests to this source; return the other effects."""
+        others, pending = [], list(effects)
+        while pending:
+            effect = pending.pop(0)
+            if not isinstance(effect, SendPeer) or effect.link_id != self.link_id:
+                others.append(effect)
+                continue
+            self.n_requests += 1
+            if isinstance(effect.message, ManifestRequest):
+                part = manifest_part(self.holder, effect.message)
+                pending += self.spread.on_manifest_part(self.link_id, part, RNG, now)
+            elif isinstance(effect.message, ValueRequest):
+                part = value_part(self.holder, effect.message)
+                pending += self.spread.on_value_part(self.link_id, part, RNG, now)
+        return others
+
+
+class TestManifest(unittest.TestCase):
+    """Guards the host against manifests that it must not act on."""
+
+    def test_bad_manifests_are_refused(self):
+        """Guards against crashes and unbounded memory by published content."""
+        good = json.loads(make_set(3)[0])
+        value = good["values"][0]
+        for change in (
+            {"generation": 0},
+            {"generation": "x"},
+            {"digest": ""},
+            {"values": [value, value]},
+            {"values": [{**value, "key": MANIFEST_KEY}]},
+            {"values": [{**value, "size": 2 << 20}]},
+            {"values": [{**value, "sha256": "zz"}]},
+        ):
+            with self.subTest(change=change), self.assertRaises(InvalidManifest):
+                parse_manifest(json.dumps({**good, **change}).encode())
+        for data in (b"", b"{", b"\xff", b"[]"):
+            with self.subTest(data=data), self.assertRaises(InvalidManifest):
+                parse_manifest(data)
+
+
+class TestAcceptance(unittest.TestCase):
+    """Guards which sets a host accepts, and from where."""
+
+    def setUp(self):
+        self.spread = ConfigSpread(load_bundle)
+
+    def source(self, link_id, manifest, values):
+        return Source(self.spread, link_id, manifest, values)
+
+    def test_only_a_higher_generation_is_accepted(self):
+        """Guards against reversion."""
+        self.source(1, *make_set(5)).offer(0.0)
+        self.assertEqual(self.spread.generation_, 5)
+        self.source(2, *make_set(4)).offer(1.0)
+        self.assertEqual(self.spread.generation_, 5)
+        self.spread.on_service_manifest(make_set(3)[0], "v", RNG, 2.0)
+        self.assertEqual(self.spread.generation_, 5)
+
+    def test_large_values_come_in_chunks_and_only_missing_ones(self):
+        """Guards against messages over 64 KB and transfers of the whole set."""
+        first = self.source(1, *make_set(1, size=3 * CHUNK_BYTES))
+        first.offer(0.0)
+        second = self.source(2, *make_set(2, size=3 * CHUNK_BYTES))
+        second.offer(1.0)
+        self.assertEqual(self.spread.generation_, 2)
+        self.assertEqual(first.n_requests, 1 + 6 * 3)
+        self.assertEqual(second.n_requests, 1 + 2 * 3)
+
+    def test_second_set_under_one_generation_is_reported_once(self):
+        """Guards against silent divergence and repeated alarms."""
+        self.source(1, *make_set(5)).offer(0.0)
+        other = self.source(2, *make_set(5, salt="other"))
+        effects = [e for i in range(3) for e in other.offer(1.0 + i)]
+        conflicts = [e for e in effects if e == Count("spread_conflicts")]
+        self.assertEqual(len(conflicts), 1)
+        self.assertNotEqual(self.spread.digest_, other.holder.digest_)
+
+    def test_incomplete_and_corrupt_sets_are_fetched_elsewhere(self):
+        """Guards against acceptance of damaged sets and against tight loops."""
+        manifest, values = make_set(5)
+        key = next(iter(values))
+        swapped = json.loads(manifest)
+        swapped["values"][0]["sha256"] = "0" * 64
+        for bad in (
+            (manifest, {k: v for k, v in values.items() if k != key}),
+            (manifest, {**values, key: b"x" * len(values[key])}),
+            (json.dumps(swapped).encode(), values),
+        ):
+            self.spread = ConfigSpread(load_bundle)
+            source = self.source(1, *bad)
+            source.offer(0.0)
+            for i in range(1, 101):
+                source.carry_out(self.spread.step(RNG, i * 0.1), i * 0.1)
+            self.assertEqual(self.spread.generation_, 0)
+            self.assertLess(source.n_requests, 30)
+            good = self.source(2, manifest, values)
+            for i in range(101, 201):
+                for effect in [*good.offer(i * 0.1)]:
+                    source.carry_out([effect], i * 0.1)
+            self.assertEqual(self.spread.generation_, 5)
+
+    def test_set_that_fails_its_check_is_not_accepted(self):
+        """Guards against a manifest whose digest does not fit its values."""
+        manifest, values = make_set(5)
+        forged = json.dumps({**json.loads(manifest), "digest": "d"}).encode()
+        self.spread.on_service_manifest(forged, "1", RNG, 0.0)
+        n_reads = 0
+        for i in range(600):
+            effects = self.spread.step(RNG, i * 0.1)
+            while reads := [e for e in effects if isinstance(e, ReadConfig)]:
+                n_reads += 1
+                data = values[reads[0].key]
+                effects = self.spread.on_service_value(reads[0].key, data, RNG, i * 0.1)
+        self.assertEqual(self.spread.generation_, 0)
+        self.assertLess(n_reads, 20)
+
+    def test_newer_generation_replaces_a_pull_and_reuses_its_values(self):
+        """Guards against rapid publications that wait for one another."""
+        first = self.source(1, *make_set(1))
+        self.spread.on_offer(1, 1, first.holder.digest_, RNG, 0.0)
+        self.source(2, *make_set(2)).offer(0.1)
+        self.assertEqual(self.spread.generation_, 2)
+
+    def test_answers_that_nobody_asked_for_are_ignored(self):
+        """Guards against a peer that pushes content."""
+        source = self.source(1, *make_set(5))
+        self.spread.on_manifest_part(1, ManifestReply(5, "x", 0, 1, b"x"), RNG, 0.0)
+        self.spread.on_offer(1, 5, source.holder.digest_, RNG, 0.0)
+        self.spread.on_value_part(1, ValueChunk("x", 0, 1, b"x"), RNG, 0.0)
+        self.spread.on_service_value("k", b"x", RNG, 0.0)
+        self.assertEqual(self.spread.generation_, 0)
+
+    def test_object_set_is_in_force_before_others_hear_of_it(self):
+        """Guards against handlers of SetAccepted that still see the old set."""
+        state = HostState("a", "d", random.Random(1))
+        state.attach(MemberTable(Member("a", "a", "a:1", "d")))
+        state.attach(self.spread)
+        seen = []
+        on_accepted = handles(SetAccepted)(
+            lambda state, event, now: seen.append(state.objects_.generation) or []
+        )
+        self.addCleanup(HANDLERS[SetAccepted].remove, on_accepted)
+        source = self.source(1, *make_set(5))
+        message = DigestReply((), True, 5, source.holder.digest_, True, 0)
+        effects = reduce(state, PeerMessageRead(1, message), 0.0)
+        while effects and isinstance(effects[-1], SendPeer):
+            request = effects[-1].message
+            serve = (
+                manifest_part if isinstance(request, ManifestRequest) else value_part
+            )
+            answer = serve(source.holder, request)
+            effects = reduce(state, PeerMessageRead(1, answer), 0.0)
+        self.assertEqual(seen, [5])
+
+
+class TestService(unittest.TestCase):
+    """Guards the load on the configuration service."""
+
+    def test_watch_that_never_answers_is_issued_again(self):
+        """Guards against a watcher that waits for ever."""
+        reader = ServiceReader()
+        watches = 0
+        for i in range(int((WATCH_S + WATCH_GRACE_S) * 10) + 20):
+            effects = reader.run(True, False, 10**6, RNG, i * 0.1)
+            watches += sum(isinstance(e, ReadConfig) and e.wait_s > 0 for e in effects)
+        self.assertEqual(watches, 2)
+
+    def test_failing_service_is_not_read_in_a_tight_loop(self):
+        """Guards against 730 hosts that overload a returning service."""
+        reader = ServiceReader()
+        n_reads = 0
+        for i in range(600):
+            for effect in reader.run(True, True, 730, RNG, i * 0.1):
+                if isinstance(effect, ReadConfig):
+                    n_reads += 1
+                    reader.on_failed("down", RNG, i * 0.1)
+        self.assertLess(n_reads, 90)
+
+    def test_polls_of_the_whole_fleet_stay_constant(self):
+        """Guards against reads that grow with the fleet."""
+        for n_hosts in (18, 180):
+            readers = [ServiceReader() for _ in range(n_hosts)]
+            n_reads = 0
+            for i in range(1500):
+                for reader in readers:
+                    for effect in reader.run(False, False, n_hosts, RNG, i * 2.0):
+                        n_reads += isinstance(effect, ReadConfig)
+                        reader.on_answer("1", i * 2.0)
+            self.assertLess(n_reads / 3000, 0.6)
+            self.assertGreater(n_reads / 3000, 0.35)
+
+    def test_watchers_are_the_same_at_all_hosts(self):
+        """Guards against a domain without watchers or with all hosts watching."""
+        members = [Member(f"i{i}", "n", "a", f"d{i % 3}") for i in range(90)]
+        chosen = watchers(tuple(members), "d1")
+        self.assertEqual(len(chosen), N_WATCHERS)
+        self.assertEqual(chosen, watchers(tuple(reversed(members)), "d1"))
+
+
+class TestFleet(unittest.TestCase):
+    """Guards the spread in a fleet under failures."""
+
+    def test_change_is_everywhere_within_5_s_under_loss(self):
+        """Guards invariant I8."""
+        for seed in range(6):
+            network, service = start_fleet(seed, 18, loss=0.1)
+            service.publish(*make_set(2))
+            self.assertTrue(network.run(5.0, lambda n=network: all_at(n, 2)))
+
+    def test_change_reaches_a_fleet_that_is_not_fully_linked(self):
+        """Guards against notices that are not passed on."""
+        network, service = start_fleet(1, 60, n_domains=6)
+        service.publish(*make_set(2, size=100_000))
+        self.assertTrue(network.run(5.0, lambda: all_at(network, 2)))
+
+    def test_rapid_publications_end_at_the_last(self):
+        """Guards against pulls of a set that the service has replaced."""
+        network, service = start_fleet(2, 18)
+        for generation in range(2, 12):
+            service.publish(*make_set(generation))
+            network.run(0.03)
+        self.assertTrue(network.run(5.0, lambda: all_at(network, 11)))
+
+    def test_watches_that_never_answer_are_made_up_for(self):
+        """Guards against a fleet that depends on watches."""
+        network, service = start_fleet(3, 18)
+        service.hanging = True
+        network.run(1.0)
+        service.publish(*make_set(2))
+        self.assertTrue(network.run(30.0, lambda: all_at(network, 2)))
+
+    def test_service_down_then_stale_never_reverts(self):
+        """Guards against reversion by an old manifest."""
+        network, service = start_fleet(4, 18)
+        service.publish(*make_set(2))
+        network.run(5.0)
+        service.down = True
+        late = add_host(network, "h3", "d0")
+        ready = lambda: spread_of(late).ready_to_serve(network.now)  # noqa: E731
+        self.assertTrue(network.run(JOIN_TIMEOUT_S + 1.0, ready))
+        self.assertEqual(spread_of(late).generation_, 2)
+        service.down = False
+        service.publish(*make_set(1))
+        network.run(30.0)
+        self.assertTrue(all_at(network, 2))
+        self.assertTrue(logged(network, 4103))
+
+    def test_generations_only_rise_under_cuts_pauses_and_restarts(self):
+        """Guards invariant I8 against combined failures."""
+        network, service = start_fleet(5, 12, loss=0.05)
+        rng = random.Random(5)
+        newest: dict[str, int] = {}
+        generation = 1
+
+        def rises():
+            for node in network.live():
+                name, own = node.state.name, spread_of(node).generation_
+                self.assertGreaterEqual(own, newest.get(name, 0))
+                newest[name] = own
+
+        for _ in range(25):
+            fault = rng.randrange(5)
+            address = rng.choice(network.live()).member.address
+            if fault == 0:
+                network.sides = {f"h{i}": 1 for i in range(rng.randrange(12))}
+            elif fault == 1:
+                rng.choice(network.live()).wakes_at = network.now + 4.0
+            elif fault == 2:
+                add_host(network, address, "d1")
+            elif fault == 3:
+                service.down = not service.down
+            else:
+                generation += 1
+                service.publish(*make_set(generation))
+            network.run(3.0, rises)
+        network.sides, service.down = {}, False
+        service.publish(*make_set(generation + 1))
+        self.assertTrue(network.run(40.0, lambda: all_at(network, generation + 1)))
+
+    def test_woken_host_is_unconfirmed_until_a_peer_answers(self):
+        """Guards against decisions by a generation that was replaced meanwhile."""
+        network, service = start_fleet(6, 18)
+        service.down = True
+        node = network.nodes[0]
+        node.wakes_at = network.now + 5.0
+        network.run(5.05)
+        confirmed = lambda: spread_of(node).confirmed_  # noqa: E731
+        self.assertTrue(network.run(5.0, confirmed))
+        reduce(node.state, Tick(), network.now + 5.0)
+        self.assertFalse(confirmed())
+
+    def test_fleet_that_was_paused_as_a_whole_goes_on(self):
+        """Guards against hosts that wait for one another's confirmation."""
+        network, service = start_fleet(7, 6)
+        service.down = True
+        for node in network.live():
+            node.wakes_at = network.now + 5.0
+        network.run(6.0)
+        done = lambda: all(spread_of(n).confirmed_ for n in network.live())  # noqa: E731
+        self.assertTrue(network.run(30.0, done))
+
+
+class TestJoining(unittest.TestCase):
+    """Guards when a starting host becomes ready."""
+
+    def test_no_set_is_never_ready(self):
+        """Guards against serving without entitlements."""
+        network = FakeNetwork(1)
+        FakeService(network).down = True
+        node = add_host(network, "h0", "d0")
+        network.run(60.0)
+        self.assertFalse(spread_of(node).ready_to_serve(network.now))
+
+    def test_single_host_is_ready_with_the_service(self):
+        """Guards against a first host that waits for peers that do not exist."""
+        network = FakeNetwork(2)
+        FakeService(network).publish(*make_set(1))
+        node = add_host(network, "h0", "d0")
+        ready = lambda: spread_of(node).ready_to_serve(network.now)  # noqa: E731
+        self.assertTrue(network.run(JOIN_TIMEOUT_S, ready))
+
+    def test_listed_hosts_that_do_not_answer_delay_and_leave_unconfirmed(self):
+        """Guards against a cut-off host that serves an old set at once."""
+        network = FakeNetwork(3)
+        FakeService(network).publish(*make_set(1))
+        network.extra_entries = [HostEntry("x", "x", "d1")]
+        node = add_host(network, "h0", "d0")
+        network.run(ISOLATED_JOIN_S - 1.0)
+        self.assertFalse(spread_of(node).ready_to_serve(network.now))
+        network.run(3.0)
+        self.assertTrue(spread_of(node).ready_to_serve(network.now))
+        self.assertFalse(spread_of(node).confirmed_)
+
+    def test_joining_host_takes_the_highest_generation(self):
+        """Guards against a new host that serves the service's older set."""
+        network, service = start_fleet(8, 9)
+        service.publish(*make_set(4))
+        network.run(5.0)
+        service.publish(*make_set(3))
+        node = add_host(network, "h20", "d0")
+        ready = lambda: spread_of(node).ready_to_serve(network.now)  # noqa: E731
+        self.assertTrue(network.run(JOIN_TIMEOUT_S, ready))
+        self.assertEqual(spread_of(node).generation_, 4)
