Pull lower generations when a higher offer cannot be had

Cause: a peer that names a generation nobody holds kept a host from pulling any other one; rapid changes also kept the values of replaced pulls. Change: only usable offers are compared; a pull keeps the values of its manifest. benchmarks/control.py measures the control cost of fleets of several sizes.

--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,183 @@
+"""Measure what membership, spread and quarantine cost a host as the fleet grows.
+
+All hosts run in one process on the in-memory network of the tests, in virtual time.
+Bytes are those of msgpack frames; TCP and kernel cost are not included. CPU is the
+time spent in the reducer and the codec, divided by hosts and virtual seconds.
+
+    python -m benchmarks.control [--sizes 18,50,100,200] [--seed 1]
+"""
+
+import statistics
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field, fields, is_dataclass
+from typing import Any
+
+import fire
+import msgpack
+import msgspec
+
+from jackdawsill.core import reduce
+from jackdawsill.membership import MemberTable
+from jackdawsill.membership.tests.network import FakeNetwork, Node
+from jackdawsill.quarantine import Quarantine
+from jackdawsill.spread import ConfigSpread
+from jackdawsill.spread.tests.fakes import FakeService, all_at, load_bundle, make_set
+
+WARM_UP_S = 15.0
+STEADY_S = 30.0
+CHANGE_S = 10.0
+N_VALUES = 10
+VALUE_BYTES = 50_000  # a change replaces two of ten values
+N_DOMAINS = 6
+FRAME_BYTES = 4
+DESIGN_HOSTS = 730
+KB = 1000.0
+
+
+@dataclass(slots=True)
+class Meter:
+    """Sum what all hosts sent and computed since the last reset."""
+
+    n_messages: int = 0
+    n_bytes: int = 0
+    reduce_s: float = 0.0
+    codec_s: float = 0.0
+    by_host: Counter[str] = field(default_factory=Counter)
+    by_kind: Counter[str] = field(default_factory=Counter)
+
+    def on_send(self, node: Node, message: Any) -> None:
+        """Encode and decode a message as the daemons would, and count it."""
+        started = time.perf_counter()
+        content = msgspec.to_builtins(message, builtin_types=(bytes,))
+        frame = msgpack.packb({"kind": type(message).__name__, **content})
+        decoded = msgpack.unpackb(frame)
+        del decoded["kind"]
+        msgspec.convert(decoded, type(message), builtin_types=(bytes,))
+        self.codec_s += time.perf_counter() - started
+        size = len(frame) + FRAME_BYTES
+        self.n_messages += 1
+        self.n_bytes += size
+        self.by_host[node.state.name] += size
+        self.by_kind[type(message).__name__] += size
+
+    def reduce(self, state: Any, event: Any, now: float) -> Any:
+        """Run the reducer and add its time."""
+        started = time.perf_counter()
+        effects = reduce(state, event, now)
+        self.reduce_s += time.perf_counter() - started
+        return effects
+
+
+@dataclass(slots=True)
+class Row:
+    """Figures of one fleet size; rates are per host and second."""
+
+    n_hosts: int
+    messages_per_s: float
+    bytes_per_s: float
+    cpu_percent: float
+    member_kb: float
+    spread_kb: float
+    change_s: float
+    change_messages: float  # per host and change, beyond the steady state
+    change_kb: float
+    change_max_kb: float  # of the host that sent most
+    change_cpu_ms: float
+
+
+def deep_size(value: Any, seen: set[int]) -> int:
+    """Return the bytes of an object and all that it refers to."""
+    if id(value) in seen or isinstance(value, type) or callable(value):
+        return 0
+    seen.add(id(value))
+    size = sys.getsizeof(value)
+    if isinstance(value, dict):
+        parts = [*value.keys(), *value.values()]
+    elif isinstance(value, list | tuple | set | frozenset):
+        parts = list(value)
+    elif is_dataclass(value):
+        parts = [getattr(value, f.name) for f in fields(value)]
+    elif hasattr(value, "__slots__"):
+        parts = [getattr(value, s) for s in value.__slots__ if hasattr(value, s)]
+    elif hasattr(value, "__iter__") and not isinstance(value, str | bytes | bytearray):
+        parts = list(value)
+    else:
+        parts = []
+    return size + sum(deep_size(part, seen) for part in parts)
+
+
+def measure(n_hosts: int, seed: int) -> tuple[Row, Counter[str]]:
+    """Run one fleet and return its figures and the steady bytes by message."""
+    network = FakeNetwork(seed)
+    service = FakeService(network)
+    service.publish(*make_set(1, N_VALUES, VALUE_BYTES))
+    for i in range(n_hosts):
+        parts = (ConfigSpread(load_bundle), Quarantine())
+        network.add(f"h{i}", f"d{i % N_DOMAINS}", *parts)
+    network.run(WARM_UP_S)
+    complete = all(len(n.table.live_hosts()) == n_hosts for n in network.live())
+    if not complete or not all_at(network, 1):
+        raise RuntimeError(f"the fleet of {n_hosts} did not settle")
+    steady = Meter()
+    network.on_send, network.reduce = steady.on_send, steady.reduce
+    network.run(STEADY_S)
+    change = Meter()
+    network.on_send, network.reduce = change.on_send, change.reduce
+    service.publish(*make_set(2, N_VALUES, VALUE_BYTES))
+    started_at = network.now
+    if not network.run(CHANGE_S, lambda: all_at(network, 2)):
+        raise RuntimeError(f"the change did not reach the fleet of {n_hosts}")
+    change_s = network.now - started_at
+    network.run(CHANGE_S - change_s)
+    share = CHANGE_S / STEADY_S
+    state = network.nodes[0].state
+    row = Row(
+        n_hosts,
+        steady.n_messages / n_hosts / STEADY_S,
+        steady.n_bytes / n_hosts / STEADY_S,
+        100 * (steady.reduce_s + steady.codec_s) / n_hosts / STEADY_S,
+        deep_size(state.part(MemberTable), set()) / KB,
+        deep_size(state.part(ConfigSpread), set()) / KB,
+        change_s,
+        (change.n_messages - steady.n_messages * share) / n_hosts,
+        (change.n_bytes - steady.n_bytes * share) / n_hosts / KB,
+        max(change.by_host.values()) / KB,
+        1000 * (change.reduce_s + change.codec_s) / n_hosts
+        - 1000 * share * (steady.reduce_s + steady.codec_s) / n_hosts,
+    )
+    return row, steady.by_kind
+
+
+def main(sizes: str | tuple[int, ...] = (18, 50, 100, 200), seed: int = 1) -> None:
+    """Print one line for each fleet size, the slopes and the design size."""
+    if isinstance(sizes, int):
+        sizes = (sizes,)
+    names = [f.name for f in fields(Row)]
+    print(" ".join(f"{name:>16}" for name in names))
+    rows: list[Row] = []
+    kinds: Counter[str] = Counter()
+    for n_hosts in sizes:
+        row, kinds = measure(int(n_hosts), seed)
+        rows.append(row)
+        print(" ".join(f"{getattr(row, name):16.2f}" for name in names), flush=True)
+    total = sum(kinds.values())
+    shares = ", ".join(f"{k} {100 * v / total:.0f}%" for k, v in kinds.most_common(8))
+    print(f"steady bytes by message in the last fleet: {shares}")
+    # Fleets of up to 18 are fully linked, so the slope is that of the larger ones.
+    sloped = [row for row in rows if row.n_hosts > 18]
+    if len(sloped) < 2:
+        return
+    n = [row.n_hosts for row in sloped]
+    for name in names[1:]:
+        line = statistics.linear_regression(n, [getattr(r, name) for r in sloped])
+        at_design = line.intercept + line.slope * DESIGN_HOSTS
+        print(
+            f"{name:>16}: {line.slope:+.5f} per host, {at_design:.2f} extrapolated to "
+            f"{DESIGN_HOSTS} hosts"
+        )
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/jackdawsill/membership/tests/network.py
+++ b/jackdawsill/membership/tests/network.py
@@ -42,6 +42,7 @@
         self.sides: dict[str, int] = {}  # address -> side of a partition
         self.on_read: Callable[[Node, Any], Any] = lambda node, effect: None
         self.on_send: Callable[[Node, Any], None] = lambda node, message: None
+        self.reduce = reduce
         self.extra_entries: list[HostEntry] = []  # on the platform list
 
     def add(self, address: str, domain: str, *parts: Any) -> Node:
@@ -92,7 +93,7 @@
                 continue
             if isinstance(event, core.LinkClosed):
                 node.streams.pop(event.link_id, None)
-            for effect in reduce(node.state, event, at):
+            for effect in self.reduce(node.state, event, at):
                 self.carry_out(node, effect)
             if isinstance(event, core.Tick):
                 self.post(at + TICK_S, node, event)
--- a/jackdawsill/spread/_pull.py
+++ b/jackdawsill/spread/_pull.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from jackdawsill.core import Effect, ReadConfig, SendPeer
 from jackdawsill.spread._errors import InvalidManifest, SetNotAcceptable
@@ -18,6 +19,14 @@
 SERVICE_TIMEOUT_S = 3.0
 
 
+@dataclass(slots=True)
+class Offer:
+    """What a source says that it can give."""
+
+    generation: int
+    digest: str
+
+
 class Pull:
     """Fetch one set piece by piece, with one request outstanding."""
 
@@ -50,6 +59,10 @@
         self.asked_at_ = 0.0
         self.not_before_ = 0.0
 
+    def fits(self, offer: Offer) -> bool:
+        """Tell whether an offer is of this set."""
+        return (offer.generation, offer.digest) == (self.generation, self.digest)
+
     def ask(self, source: int, now: float) -> Effect:
         """Return the request for the next piece."""
         self.source_, self.asked_at_ = source, now
@@ -91,6 +104,8 @@
         self.manifest_, self.manifest_bytes_ = manifest, data
         self.manifest_source_ = source
         wanted = {ref.sha256: ref for ref in manifest.values}
+        # Values of replaced pulls are dropped, or rapid changes would fill the memory.
+        self.held_ = {sha: data for sha, data in self.held_.items() if sha in wanted}
         self.missing_ = [r for r in wanted.values() if r.sha256 not in self.held_]
 
     def take_manifest_part(self, offset: int, size: int, data: bytes) -> None:
--- a/jackdawsill/spread/_spread.py
+++ b/jackdawsill/spread/_spread.py
@@ -12,7 +12,7 @@
 from jackdawsill.spread._joining import Joining
 from jackdawsill.spread._manifest import parse_manifest
 from jackdawsill.spread._messages import ManifestReply, ValueChunk
-from jackdawsill.spread._pull import SERVICE, Pull
+from jackdawsill.spread._pull import SERVICE, Offer, Pull
 from jackdawsill.spread._service import ServiceReader
 
 if TYPE_CHECKING:
@@ -31,14 +31,6 @@
 ALL_UNCONFIRMED_S = 10.0
 
 
-@dataclass(slots=True)
-class Offer:
-    """What a source says that it can give."""
-
-    generation: int
-    digest: str
-
-
 @dataclass(slots=True)
 class Blame:
     """Until when a source is not asked for a set that it failed to give."""
@@ -234,23 +226,22 @@
             effects += self._blame(pull, "no answer in time", now)
             pull.buffer_ += piece
             pull.not_before_ = now
-        best = max((o.generation for o in self.offers_.values()), default=0)
+        # A source that cannot give what it offers does not hold up lower offers.
+        usable = self._usable_offers(now)
+        best = max((offer.generation for offer in usable.values()), default=0)
         if best <= self.generation_:
             return effects
-        sources = self._sources(best, now)
-        if pull is None or pull.generation < best:
-            if not sources:
-                return effects
-            digest = self.offers_[rng.choice(sources)].digest
+        if pull is not None and pull.generation >= best and pull.source_ is not None:
+            return effects
+        fits = pull is not None and any(map(pull.fits, usable.values()))
+        if pull is None or pull.generation < best or not fits:
+            newest = [s for s, offer in usable.items() if offer.generation == best]
+            digest = self.offers_[rng.choice(newest)].digest
             held = self.values_ if pull is None else self.values_ | pull.held_
             pull = self.pull_ = Pull(best, digest, held)
-        if pull.source_ is not None or now < pull.not_before_:
-            return effects
-        fitting = [s for s in sources if self.offers_[s].digest == pull.digest]
-        if not fitting:
-            if sources:  # only another set of this generation can be had
-                self.pull_ = None
+        if now < pull.not_before_:
             return effects
+        fitting = [s for s, offer in usable.items() if pull.fits(offer)]
         # The service has 2,000 reads/s for all hosts, so peers are asked first.
         peers = [source for source in fitting if source != SERVICE]
         source = rng.choice(peers or fitting)
@@ -264,14 +255,13 @@
             return effects + self._finish(pull, now)
         return [*effects, pull.ask(source, now)]
 
-    def _sources(self, generation: int, now: float) -> list[int]:
-        return [
-            source
-            for source, offer in self.offers_.items()
-            if offer.generation == generation
-            and (blame := self.blamed_.get((source, generation, offer.digest)), True)
-            and (blame is None or now >= blame.until)
-        ]
+    def _usable_offers(self, now: float) -> dict[int, Offer]:
+        usable = {}
+        for source, offer in self.offers_.items():
+            blame = self.blamed_.get((source, offer.generation, offer.digest))
+            if blame is None or now >= blame.until:
+                usable[source] = offer
+        return usable
 
     def on_manifest_part(
         self, source: int, part: ManifestReply, rng: random.Random, now: float
--- a/jackdawsill/spread/tests/test_spread.py
+++ b/jackdawsill/spread/tests/test_spread.py
@@ -200,6 +200,18 @@
         self.source(2, *make_set(2)).offer(0.1)
         self.assertEqual(self.spread.generation_, 2)
 
+    def test_offer_that_cannot_be_had_does_not_stop_others(self):
+        """Guards against a faulty peer that names a generation nobody holds."""
+        false = self.source(1, *make_set(99))
+        false.holder.manifest_bytes_ = b""
+        false.offer(0.0)
+        good = self.source(2, *make_set(5))
+        good.offer(0.1)
+        for i in range(2, 12):
+            for effect in good.carry_out(self.spread.step(RNG, i * 0.1), i * 0.1):
+                false.carry_out([effect], i * 0.1)
+        self.assertEqual(self.spread.generation_, 5)
+
     def test_answers_that_nobody_asked_for_are_ignored(self):
         """Guards against a peer that pushes content."""
         source = self.source(1, *make_set(5))
