Add error budgets and burn reports

Cause: operators watch latency, coverage and extra load per caller and route. Change: counts in sliding windows of 5 min, 1 h and 6 h, exact merge of the reports of several hosts, and rendering as text, JSON and HTML with plots. Conclusion: merged budgets equal those of one host that saw all queries.

--- /dev/null
+++ b/jackdawsill/burn/_render.py
@@ -0,0 +1,145 @@
+"""Burn report as a text table, as JSON and as an HTML page with plots."""
+
+import base64
+import html
+import io
+import json
+import math
+from dataclasses import asdict
+
+from matplotlib.backends.backend_agg import FigureCanvasAgg
+from matplotlib.figure import Figure
+
+from jackdawsill.burn._report import Budget, BurnReport, Measure
+
+HEADINGS = (
+    "caller",
+    "route",
+    "measure",
+    "allowed",
+    "burn 5 min",
+    "burn 1 h",
+    "burn 6 h",
+    "left",
+    "exhausted in",
+)
+# A plot with more bars than this cannot be read; the table holds all rows.
+MAX_BARS = 30
+STYLE = (
+    "body{font-family:sans-serif;margin:2em}table{border-collapse:collapse}"
+    "td,th{border:1px solid #999;padding:.2em .6em;text-align:right}"
+    "tr.over{background:#fdd}"
+)
+
+
+def render_text(report: BurnReport) -> str:
+    """Return a table of all budgets."""
+    rows = [HEADINGS, *[_cells(budget) for budget in report.budgets]]
+    widths = [max(len(row[i]) for row in rows) for i in range(len(HEADINGS))]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in rows
+    ]
+    return "\n".join([_summary(report), "", *(line.rstrip() for line in lines)]) + "\n"
+
+
+def render_json(report: BurnReport) -> str:
+    """Return the report as JSON; infinite rates are null."""
+    return json.dumps(_finite(asdict(report)), indent=2) + "\n"
+
+
+def render_html(report: BurnReport) -> str:
+    """Return a page that holds the table and its plots."""
+    head = "".join(f"<th>{heading}</th>" for heading in HEADINGS)
+    body = "".join(_row(budget) for budget in report.budgets)
+    plots = "".join(
+        f'<h2>{measure}</h2><img alt="burn rates and budget left, {measure}" '
+        f'src="data:image/png;base64,{_plot(report, measure)}">'
+        for measure in Measure
+        if any(budget.measure is measure for budget in report.budgets)
+    )
+    return (
+        '<!DOCTYPE html><html lang="en"><head><meta charset="utf-8">'
+        f"<title>Burn report</title><style>{STYLE}</style></head><body>"
+        f"<h1>Burn report</h1><p>{html.escape(_summary(report))}</p>"
+        f"<table><tr>{head}</tr>{body}</table>{plots}</body></html>\n"
+    )
+
+
+def _summary(report: BurnReport) -> str:
+    """Return one line about the whole report."""
+    n_over = sum(budget.left <= 0 for budget in report.budgets)
+    return (
+        f"{len(report.hosts)} hosts, generation {report.generation}, "
+        f"{len(report.budgets)} budgets, {n_over} used up"
+    )
+
+
+def _cells(budget: Budget) -> tuple[str, ...]:
+    """Return the cells of one row."""
+    return (
+        budget.caller,
+        budget.route,
+        str(budget.measure),
+        f"{budget.allowed:.2%}",
+        *(f"{rate:.2f}" for rate in budget.burn_rates),
+        f"{budget.left:.1%}",
+        _duration(budget.exhausted_in_s),
+    )
+
+
+def _row(budget: Budget) -> str:
+    """Return one row of the HTML table."""
+    cells = "".join(f"<td>{html.escape(cell)}</td>" for cell in _cells(budget))
+    return f'<tr class="over">{cells}</tr>' if budget.left <= 0 else f"<tr>{cells}</tr>"
+
+
+def _duration(seconds: float | None) -> str:
+    """Return a time for people."""
+    if seconds is None:
+        return "never"
+    if seconds < 60:
+        return f"{seconds:.0f} s"
+    return f"{seconds / 60:.0f} min" if seconds < 7200 else f"{seconds / 3600:.1f} h"
+
+
+def _finite(value):
+    """Return JSON data without infinite numbers, which JSON does not have."""
+    if isinstance(value, dict):
+        return {key: _finite(item) for key, item in value.items()}
+    if isinstance(value, list | tuple):
+        return [_finite(item) for item in value]
+    if isinstance(value, float) and not math.isfinite(value):
+        return None
+    return value
+
+
+def _plot(report: BurnReport, measure: Measure) -> str:
+    """Return a plot of the worst budgets of a measure as base64 PNG."""
+    budgets = [budget for budget in report.budgets if budget.measure is measure]
+    budgets = sorted(budgets, key=lambda budget: budget.left)[:MAX_BARS]
+    labels = [f"{budget.caller} / {budget.route}" for budget in budgets]
+    # A figure without pyplot keeps no global state between reports.
+    figure = Figure(figsize=(10, 1.5 + 0.35 * len(budgets)), layout="constrained")
+    FigureCanvasAgg(figure)
+    rates, left = figure.subplots(1, 2, sharey=True)
+    height = 0.8 / len(report.windows_s)
+    for i, window_s in enumerate(report.windows_s):
+        places = [j + i * height for j in range(len(budgets))]
+        values = [_drawable(budget.burn_rates[i]) for budget in budgets]
+        rates.barh(places, values, height, label=f"{window_s // 60} min")
+    rates.axvline(1.0, color="black", linewidth=1)
+    rates.set_yticks([j + height for j in range(len(budgets))], labels)
+    rates.set_xlabel("burn rate")
+    rates.legend()
+    places = [j + height for j in range(len(budgets))]
+    left.barh(places, [max(_drawable(budget.left), -1.0) for budget in budgets])
+    left.set_xlabel("budget left")
+    buffer = io.BytesIO()
+    figure.savefig(buffer, format="png", dpi=80)
+    return base64.b64encode(buffer.getvalue()).decode()
+
+
+def _drawable(value: float) -> float:
+    """Return a number that an axis can show."""
+    return min(max(value, -100.0), 100.0)
--- /dev/null
+++ b/jackdawsill/burn/_report.py
@@ -0,0 +1,181 @@
+"""Burn report: exact merge of the reports of several hosts."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import msgspec
+
+from jackdawsill.burn._budgets import PERIOD_S, WINDOWS_S
+from jackdawsill.burn._errors import BurnReportInvalid
+
+
+class Measure(StrEnum):
+    """Name what an objective limits."""
+
+    LATENCY = "latency"
+    COVERAGE = "coverage"
+    EXTRA_LOAD = "extra_load"
+
+
+@dataclass(slots=True)
+class WindowCounts:
+    """Counts of one window."""
+
+    n: int = 0
+    n_slow: int = 0
+    n_shards: int = 0
+    n_missing: int = 0
+    n_needed: int = 0
+    n_extra: int = 0
+
+    def add(self, other: "WindowCounts") -> None:
+        """Add the counts of another host."""
+        self.n += other.n
+        self.n_slow += other.n_slow
+        self.n_shards += other.n_shards
+        self.n_missing += other.n_missing
+        self.n_needed += other.n_needed
+        self.n_extra += other.n_extra
+
+
+@dataclass(slots=True)
+class HostSeries:
+    """Counts of one caller and route with the objective in force."""
+
+    caller: str
+    route: str
+    objective: str
+    latency_ms: int
+    latency_target: float
+    coverage_target: float
+    extra_load_target: float
+    windows: dict[str, WindowCounts]
+
+
+@dataclass(slots=True)
+class HostReport:
+    """Report of one host."""
+
+    host: str
+    generation: int
+    series: list[HostSeries]
+
+
+@dataclass(slots=True, frozen=True)
+class Budget:
+    """Error budget of one measure of a caller and route.
+
+    `burn_rates` are per window; at a rate of 1 the budget of the period is used
+    exactly up. `left` is a fraction of the budget and negative when overspent.
+    `exhausted_in_s` is None if the budget lasts at the present rate.
+    """
+
+    caller: str
+    route: str
+    objective: str
+    measure: Measure
+    allowed: float
+    bad_fractions: tuple[float, ...]
+    burn_rates: tuple[float, ...]
+    left: float
+    exhausted_in_s: float | None
+
+
+@dataclass(slots=True)
+class BurnReport:
+    """Merged report of several hosts."""
+
+    hosts: tuple[str, ...]
+    generation: int
+    windows_s: tuple[int, ...] = WINDOWS_S
+    budgets: list[Budget] = field(default_factory=list)
+
+
+def merge_reports(reports: list[dict]) -> BurnReport:
+    """Add the counts of all hosts; raise BurnReportInvalid.
+
+    A host that is named twice counts once, with its last report. Where hosts hold
+    different objectives, those of the highest generation apply.
+    """
+    by_host: dict[str, HostReport] = {}
+    for report in reports:
+        try:
+            checked = msgspec.convert(report, HostReport)
+        except msgspec.ValidationError as exc:
+            raise BurnReportInvalid(f"the report is not valid: {exc}") from exc
+        by_host[checked.host] = checked
+    merged: dict[tuple[str, str], HostSeries] = {}
+    for report in sorted(by_host.values(), key=lambda r: (-r.generation, r.host)):
+        for series in report.series:
+            key = (series.caller, series.route)
+            known = merged.setdefault(key, series)
+            if known is series:
+                continue
+            for window, counts in series.windows.items():
+                known.windows.setdefault(window, WindowCounts()).add(counts)
+    generations = [report.generation for report in by_host.values()]
+    result = BurnReport(tuple(sorted(by_host)), max(generations, default=0))
+    for _, series in sorted(merged.items()):
+        result.budgets += budgets_of(series)
+    return result
+
+
+def budgets_of(series: HostSeries) -> list[Budget]:
+    """Return the error budgets of one caller and route."""
+    counts = [series.windows.get(str(w), WindowCounts()) for w in WINDOWS_S]
+    rows = {
+        Measure.LATENCY: (
+            1.0 - series.latency_target,
+            [(c.n_slow, c.n) for c in counts],
+        ),
+        Measure.COVERAGE: (
+            1.0 - series.coverage_target,
+            [(c.n_missing, c.n_shards) for c in counts],
+        ),
+        Measure.EXTRA_LOAD: (
+            series.extra_load_target,
+            [(c.n_extra, c.n_needed) for c in counts],
+        ),
+    }
+    return [
+        _budget(series, measure, allowed, pairs)
+        for measure, (allowed, pairs) in rows.items()
+    ]
+
+
+def _budget(
+    series: HostSeries,
+    measure: Measure,
+    allowed: float,
+    pairs: list[tuple[int, int]],
+) -> Budget:
+    """Return one budget from pairs of bad and all events per window."""
+    fractions = tuple(bad / total if total else 0.0 for bad, total in pairs)
+    rates = tuple(_rate(fraction, allowed) for fraction in fractions)
+    left = 1.0 - rates[-1]
+    return Budget(
+        caller=series.caller,
+        route=series.route,
+        objective=series.objective,
+        measure=measure,
+        allowed=allowed,
+        bad_fractions=fractions,
+        burn_rates=rates,
+        left=left,
+        exhausted_in_s=_exhausted_in_s(left, rates[0]),
+    )
+
+
+def _rate(fraction: float, allowed: float) -> float:
+    """Return the bad fraction in units of the allowed one."""
+    if fraction <= 0:
+        return 0.0
+    # Targets such as 0.99 leave rounding errors far below any real budget.
+    return fraction / allowed if allowed > 1e-9 else float("inf")
+
+
+def _exhausted_in_s(left: float, rate: float) -> float | None:
+    """Return the time until the budget is used up at a rate."""
+    if left <= 0:
+        return 0.0
+    return left * PERIOD_S / rate if rate > 0 else None
