--- a/jackdawsill/core/__init__.py
+++ b/jackdawsill/core/__init__.py
@@ -47,13 +47,35 @@
     TicketsMoved,
     TimerFired,
 )
-from jackdawsill.core._reducer import HANDLERS, PAUSE_LIMIT_S, TICK_S, handles, reduce
+from jackdawsill.core._reducer import (
+    GATES,
+    HANDLERS,
+    PAUSE_LIMIT_S,
+    TICK_S,
+    gates,
+    handles,
+    reduce,
+)
 from jackdawsill.core._state import HostState
+from jackdawsill.core._views import (
+    EXPLAINS,
+    REPORTS,
+    STATUS_SECTIONS,
+    explain,
+    explains,
+    report,
+    status,
+    status_section,
+)
 
 __all__ = [
+    "EXPLAINS",
+    "GATES",
     "HANDLERS",
     "NOT_RUN_KINDS",
     "PAUSE_LIMIT_S",
+    "REPORTS",
+    "STATUS_SECTIONS",
     "TICK_S",
     "Answer",
     "CallerLeft",
@@ -98,6 +120,12 @@
     "Tick",
     "TicketsMoved",
     "TimerFired",
+    "explain",
+    "explains",
+    "gates",
     "handles",
     "reduce",
+    "report",
+    "status",
+    "status_section",
 ]
--- a/jackdawsill/tickets/tests/fleet.py
+++ b/jackdawsill/tickets/tests/fleet.py
@@ -77,6 +77,8 @@
 class FakeMembers:
     """Member table with a full mesh of links; `fleet` holds the tombstones."""
 
+    fleet_key = b""  # keeps the membership handlers passive
+
     def __init__(self, fleet: "Fleet", member: Member) -> None:
         self.fleet = fleet
         self.self_member = member
