Use the real components for tickets and stopping

Change: replicas are chosen and learned from through the landed components; successors and the leave message go through MemberTable, so the core events TicketsMoved and HostLeaving are removed; refusals made before the ticket is read say outcome_unknown; links opened for forwards are closed when idle.

--- a/jackdawsill/core/__init__.py
+++ b/jackdawsill/core/__init__.py
@@ -30,7 +30,6 @@
     Event,
     FailureKind,
     HostEntry,
-    HostLeaving,
     HostListRead,
     LinkClosed,
     LinkOpened,
@@ -44,7 +43,6 @@
     SubAnswered,
     SubFailed,
     Tick,
-    TicketsMoved,
     TimerFired,
 )
 from jackdawsill.core._reducer import (
@@ -91,7 +89,6 @@
     "Exit",
     "FailureKind",
     "HostEntry",
-    "HostLeaving",
     "HostListRead",
     "HostState",
     "LinkClosed",
@@ -118,7 +115,6 @@
     "SubAnswered",
     "SubFailed",
     "Tick",
-    "TicketsMoved",
     "TimerFired",
     "explain",
     "explains",
--- a/jackdawsill/core/_events.py
+++ b/jackdawsill/core/_events.py
@@ -180,19 +180,6 @@
     """The operator asked for a graceful stop."""
 
 
-@dataclass(slots=True, frozen=True)
-class TicketsMoved(Event):
-    """A successor decides on the tickets of `incarnation`; raised by `tickets`."""
-
-    incarnation: str
-    successor: str
-
-
-@dataclass(slots=True, frozen=True)
-class HostLeaving(Event):
-    """This host is about to exit; raised by `stopping`, peers are to be told."""
-
-
 @dataclass(slots=True, frozen=True)
 class SetAccepted(Event):
     """A verified object set came into force on this host; raised by `spread`."""
--- a/jackdawsill/metrics/_registry.py
+++ b/jackdawsill/metrics/_registry.py
@@ -41,38 +41,38 @@
 
 
 TICKETS_ISSUED = register_metric(
-    "jackdawsill_tickets_issued", MetricKind.COUNTER, "1", "Tickets issued."
+    "tickets_issued", MetricKind.COUNTER, "1", "Tickets issued."
 )
 TICKETS_SPENT = register_metric(
-    "jackdawsill_tickets_spent", MetricKind.COUNTER, "1", "Tickets spent here."
+    "tickets_spent", MetricKind.COUNTER, "1", "Tickets spent here."
 )
 TICKETS_RESENT = register_metric(
-    "jackdawsill_tickets_resent",
+    "tickets_resent",
     MetricKind.COUNTER,
     "1",
     "Requests whose ticket was spent before.",
 )
 TICKETS_FORWARDED = register_metric(
-    "jackdawsill_tickets_forwarded",
+    "tickets_forwarded",
     MetricKind.COUNTER,
     "1",
     "Requests forwarded to the issuer of their ticket.",
 )
 TICKETS_SETTLED = register_metric(
-    "jackdawsill_tickets_settled",
+    "tickets_settled",
     MetricKind.COUNTER,
     "1",
     "Ticketed requests by recorded outcome; code 0 is an answer.",
     ("code",),
 )
 UNREGISTERED = register_metric(
-    "jackdawsill_metrics_unregistered",
+    "metrics_unregistered",
     MetricKind.COUNTER,
     "1",
     "Records dropped because their metric or its kind is not registered.",
 )
 LABELS_MERGED = register_metric(
-    "jackdawsill_metrics_labels_merged",
+    "metrics_labels_merged",
     MetricKind.COUNTER,
     "1",
     "Records counted under the label value other because of the bound.",
--- a/jackdawsill/query/_admit.py
+++ b/jackdawsill/query/_admit.py
@@ -33,7 +33,7 @@
 from jackdawsill.query._model import Query
 from jackdawsill.query._table import QueryTable
 from jackdawsill.stopping import Phase, Stopping
-from jackdawsill.tickets import TicketOffice
+from jackdawsill.tickets import TicketOffice, check_refusal
 
 # A partial answer is given this long before the deadline, so that it arrives in
 # time. Coverage-first callers wait longer for missing shards.
@@ -57,6 +57,7 @@
             _check_room(state, route, caller, now + deadline_s, now)
         mark = _check_body(state, request, now)
     except JackdawsillError as exc:
+        check_refusal(request, exc)
         out.append(Refuse(request.query_id, exc))
         out.append(_refused(exc))
         return
--- a/jackdawsill/stopping/_stopping.py
+++ b/jackdawsill/stopping/_stopping.py
@@ -5,10 +5,8 @@
 from jackdawsill.core import (
     Effect,
     Exit,
-    HostLeaving,
     HostState,
     LogEvent,
-    Raise,
     SetReadiness,
     SetTimer,
     TimerFired,
@@ -65,7 +63,7 @@
 
     def on_tick(self, state: HostState, now: float) -> list[Effect]:
         """Move on when the phase has reached its aim."""
-        if self.phase_ is Phase.JOINING and self._may_serve(state):
+        if self.phase_ is Phase.JOINING and self._may_serve(state, now):
             state.ready_ = True
             return [*self._enter(Phase.SERVING), SetReadiness(True)]
         if self.phase_ is Phase.DRAINING:
@@ -74,9 +72,9 @@
                 return self._begin_handover(state, now)
         if self.phase_ is Phase.HANDOVER:
             done = self._is_handed_over(state) or self.successor_ is None
-            return self._leave() if done and not self.in_hand(state).n else []
+            return self._leave(state) if done and not self.in_hand(state).n else []
         if self.phase_ is Phase.EXIT:
-            # One tick after HostLeaving, so that the messages to peers come first.
+            # One tick later, so that the messages to peers were written.
             return [Exit()]
         return []
 
@@ -105,14 +103,13 @@
             effects = self._incomplete(state)
             if self.successor_ is not None and not self._is_handed_over(state):
                 effects.append(self._lost("no acknowledgement in time"))
-            return [*effects, *self._leave()]
+            return [*effects, *self._leave(state)]
         return []
 
-    def _may_serve(self, state: HostState) -> bool:
+    def _may_serve(self, state: HostState, now: float) -> bool:
         """Tell whether the host holds the newest set that it can learn of."""
-        spread = state.part(ConfigSpread)
-        ready = getattr(spread, "ready_", spread.confirmed_)
-        return state.objects_ is not None and bool(ready)
+        ready = state.part(ConfigSpread).ready_to_serve(now)
+        return state.objects_ is not None and ready
 
     def _enter(self, phase: Phase) -> list[Effect]:
         """Change the phase and log it."""
@@ -148,7 +145,7 @@
         if self.successor_ is None and not self._is_handed_over(state):
             effects.append(self._lost("no peer is linked"))
         elif self._is_handed_over(state) and not in_hand.n:
-            return [*effects, *self._leave()]
+            return [*effects, *self._leave(state)]
         limit_s = now + HANDOVER_LIMIT_S
         if in_hand.until_s is not None:
             limit_s = max(limit_s, in_hand.until_s + DRAIN_MARGIN_S)
@@ -184,6 +181,6 @@
         fields = {"successor": self.successor_ or "nobody", "reason": reason}
         return LogEvent(log_events.HANDOVER_LOST, fields)
 
-    def _leave(self) -> list[Effect]:
+    def _leave(self, state: HostState) -> list[Effect]:
         """Tell the peers; the process ends at the next tick."""
-        return [*self._enter(Phase.EXIT), Raise(HostLeaving())]
+        return [*self._enter(Phase.EXIT), *state.part(MemberTable).leave()]
--- a/jackdawsill/tickets/__init__.py
+++ b/jackdawsill/tickets/__init__.py
@@ -1,6 +1,7 @@
 """At-most-once execution of requests that are not idempotent."""
 
 from jackdawsill.tickets import _handlers as _handlers
+from jackdawsill.tickets._errors import check_refusal
 from jackdawsill.tickets._messages import (
     TicketForward,
     TicketHandover,
@@ -15,4 +16,5 @@
     "TicketHandoverAck",
     "TicketOffice",
     "TicketReply",
+    "check_refusal",
 ]
--- a/jackdawsill/tickets/_errors.py
+++ b/jackdawsill/tickets/_errors.py
@@ -1,5 +1,6 @@
 """Errors of requests that are not idempotent."""
 
+from jackdawsill.core import QueryArrived
 from jackdawsill.exceptions import JackdawsillError, Outcome, register_error
 
 
@@ -76,3 +77,13 @@
 @register_error(3015, status=503)
 class TicketsClosed(JackdawsillError):
     """The host has stopped issuing and spending tickets."""
+
+
+def check_refusal(request: QueryArrived, exc: JackdawsillError) -> None:
+    """Correct the outcome of a refusal that was made before the ticket was read.
+
+    The same ticket may have run through another host. Only bad input, which every
+    host refuses, was certainly not run.
+    """
+    if request.ticket is not None and exc.status != 400:
+        exc.outcome = Outcome.OUTCOME_UNKNOWN
--- a/jackdawsill/tickets/_forwarding.py
+++ b/jackdawsill/tickets/_forwarding.py
@@ -23,6 +23,9 @@
 FORWARD_RETRY_S = 0.025
 # A link that is not usable by then is closed, and another one is opened.
 OPEN_TIMEOUT_S = 1.0
+# Every open link is pinged each second; without this limit the hosts of a large fleet
+# would link to all others over time.
+IDLE_LINK_S = 30.0
 DEADLINE_TIMER = "tickets:deadline:"
 RETRY_TIMER = "tickets:retry:"
 
@@ -49,17 +52,17 @@
             return self._decide(state, ledger, demand, call.query_id, now)
         members = state.part(MemberTable)
         target = self._decider(members, call.incarnation)
-        # A host that was never the issuer of this ticket may have been named as
-        # successor before its handover message arrived; it asks itself again.
-        if target != members.self_member.incarnation:
-            if target is None or members.is_lost(target):
-                exc = errors.TicketOutcomeUnknown("the issuer of the ticket is lost")
-                return self._reply(state, call.query_id, exc, now)
-            effects = self._forward(state, call, target, now)
-        else:
-            effects = []
-        timer = SetTimer(f"{RETRY_TIMER}{call.query_id}", now + FORWARD_RETRY_S)
-        return effects if call.link_id is not None else [*effects, timer]
+        # This host itself is named only after it installed the tickets, so without
+        # them their time is over.
+        own = members.self_member.incarnation
+        if target is None or target == own or members.is_lost(target):
+            exc = errors.TicketOutcomeUnknown("the issuer of the ticket is lost")
+            return self._reply(state, call.query_id, exc, now)
+        effects = self._forward(state, call, target, now)
+        if call.link_id is None:
+            timer_id = f"{RETRY_TIMER}{call.query_id}"
+            effects.append(SetTimer(timer_id, now + FORWARD_RETRY_S))
+        return effects
 
     def _decider(self, members: MemberTable, incarnation: str) -> str | None:
         """Return the incarnation that decides now, after any handovers."""
@@ -84,6 +87,8 @@
         if link_id is None:
             return self._open_link(state, members, target, now)
         self.opening_.pop(target, None)
+        if link_id in self.dialled_:
+            self.dialled_[link_id] = now
         call.link_id = link_id
         message = TicketForward(
             call.forward_id,
@@ -94,7 +99,7 @@
             call.body,
             call.deadline_at - now,
         )
-        return [Count("jackdawsill_tickets_forwarded"), SendPeer(link_id, message)]
+        return [Count("tickets_forwarded"), SendPeer(link_id, message)]
 
     def _open_link(
         self, state: HostState, members: MemberTable, target: str, now: float
@@ -111,8 +116,21 @@
             return effects
         link_id = state.next_id()
         self.opening_[target] = (link_id, now)
+        self.dialled_[link_id] = now
         return [*effects, OpenLink(link_id, member.address)]
 
+    def close_idle_links(self, now: float) -> list[Effect]:
+        """Close links that were opened for forwards and are not used any more."""
+        in_use = {call.link_id for call in self.calls_.values()}
+        idle = [
+            link_id
+            for link_id, used_at in self.dialled_.items()
+            if now - used_at >= IDLE_LINK_S and link_id not in in_use
+        ]
+        for link_id in idle:
+            del self.dialled_[link_id]
+        return [CloseLink(link_id) for link_id in idle]
+
     def _member(self, members: MemberTable, incarnation: str) -> Member | None:
         """Return a live member by its incarnation."""
         found = (m for m in members.live_hosts() if m.incarnation == incarnation)
@@ -141,6 +159,7 @@
             for target, entry in self.opening_.items()
             if entry[0] != event.link_id
         }
+        self.dialled_.pop(event.link_id, None)
         effects: list[Effect] = []
         for call in self.calls_.values():
             if call.link_id == event.link_id:
--- a/jackdawsill/tickets/_handlers.py
+++ b/jackdawsill/tickets/_handlers.py
@@ -92,7 +92,7 @@
     if isinstance(message, TicketHandover):
         return office.on_handover(state, event.link_id, message, now)
     if isinstance(message, TicketHandoverAck):
-        return office.on_handover_ack(state, message)
+        return office.on_handover_ack(state, message, now)
     return []
 
 
--- a/jackdawsill/tickets/_handover.py
+++ b/jackdawsill/tickets/_handover.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from jackdawsill.core import Effect, HostState, LogEvent, Raise, SendPeer, TicketsMoved
+from jackdawsill.core import Effect, HostState, LogEvent, SendPeer
 from jackdawsill.membership import MemberTable
 from jackdawsill.tickets import _log_events as log_events
 from jackdawsill.tickets._ledger import (
@@ -120,17 +120,14 @@
         return [*effects, LogEvent(log_events.HANDOVER_SENT, fields)]
 
     def on_handover_ack(
-        self, state: HostState, message: TicketHandoverAck
+        self, state: HostState, message: TicketHandoverAck, now: float
     ) -> list[Effect]:
         """Note that the successor decides now."""
         own = state.part(MemberTable).self_member.incarnation
         if not self.closed_ or message.sender != own or self.handed_over_:
             return []
         self.handed_over_ = True
-        return [
-            Raise(TicketsMoved(incarnation, self.successor_))
-            for incarnation in self.ledgers_
-        ]
+        return state.part(MemberTable).record_successor(own, self.successor_, now)
 
     def on_handover(
         self, state: HostState, link_id: int, message: TicketHandover, now: float
@@ -174,7 +171,8 @@
         self, state: HostState, link_id: int, staged: Staged, now: float
     ) -> list[Effect]:
         """Decide on the tickets of the sender from now on."""
-        own = state.part(MemberTable).self_member.incarnation
+        members = state.part(MemberTable)
+        own = members.self_member.incarnation
         sender = ""
         taken: list[str] = []
         for _, chunk in sorted(staged.chunks.items()):
@@ -194,5 +192,6 @@
         return [
             LogEvent(log_events.HANDOVER_INSTALLED, fields),
             SendPeer(link_id, TicketHandoverAck(sender)),
-            *[Raise(TicketsMoved(incarnation, own)) for incarnation in taken],
+            # Hosts follow the chain from the other incarnations to the sender.
+            *members.record_successor(sender, own, now),
         ]
--- a/jackdawsill/tickets/_issuer.py
+++ b/jackdawsill/tickets/_issuer.py
@@ -14,10 +14,18 @@
     SubFailed,
 )
 from jackdawsill.exceptions import JackdawsillError
+from jackdawsill.membership import MemberTable
 from jackdawsill.quarantine import Quarantine, Verdict, fingerprint
 from jackdawsill.tickets import _errors as errors
 from jackdawsill.tickets import _log_events as log_events
 from jackdawsill.tickets._ledger import ANSWERED, RETENTION_S, Ledger, Record
+from jackdawsill.tickets._replicas import (
+    bind_shard,
+    learn_answer,
+    learn_failure,
+    learn_sent,
+    pick_replica,
+)
 from jackdawsill.tickets._runs import Demand, RemoteWaiter, Run
 from jackdawsill.tickets._ticket import body_digest, decode_ticket, is_authentic
 
@@ -73,7 +81,7 @@
         mark = fingerprint(demand.route, demand.body)
         run = Run(demand, ticket, ledger, record, mark, [waiter])
         self.runs_[run.key()] = run
-        return [Count("jackdawsill_tickets_spent"), *self._send(state, run, now)]
+        return [Count("tickets_spent"), *self._send(state, run, now)]
 
     def _resend(
         self,
@@ -85,7 +93,7 @@
         now: float,
     ) -> list[Effect]:
         """Reply to a second use of a ticket, or let it wait for the first."""
-        effects: list[Effect] = [Count("jackdawsill_tickets_resent")]
+        effects: list[Effect] = [Count("tickets_resent")]
         record = ledger.records_.get(serial)
         if record is None:
             exc = errors.TicketOutcomeUnknown(SETTLED_MESSAGE)
@@ -134,32 +142,29 @@
             self._check_send(state, run, now)
             if len(run.tried) >= MAX_ATTEMPTS:
                 raise errors.TicketNoReplica("no replica took the request")
-            objects = state.objects_
-            group = objects.routes[run.demand.route].group
-            if run.snapshot is None:
-                table = self.snapshot_table(state)
-                run.snapshot = table.bind(group, objects, now, frozenset())
-            if run.snapshot is None or not run.snapshot.shards:
+            shard = bind_shard(state, run, now)
+            if shard is None:
                 raise errors.TicketNoReplica("the group has no snapshot")
-            shards = run.snapshot.shards
-            shard = shards[int(run.fingerprint, 16) % len(shards)]
-            replica = self.replica_table(state).pick(
-                shard.service, frozenset(run.tried), objects, now, state.rng
-            )
+            replica = pick_replica(state, run, shard, now)
             if replica is None:
                 raise errors.TicketNoReplica("no replica is available")
         except JackdawsillError as exc:
             return self._settle(state, run, exc, now)
         run.sub_id = state.next_id()
+        # Unique over hosts and restarts, since callers may repeat their request ids.
+        own = state.part(MemberTable).self_member.incarnation
+        run.wire_id = f"{run.demand.request_id}.{own[:8]}.{run.sub_id}"
         run.shard = shard.name
+        run.service = shard.service
         run.replica = replica.name
         run.tried.add(replica.name)
         run.sent_at = now
         self.subs_[run.sub_id] = run
+        n_connections_max = learn_sent(state, run, now)
         return [
             SendSub(
                 sub_id=run.sub_id,
-                request_id=run.demand.request_id,
+                request_id=run.wire_id,
                 replica=replica.name,
                 address=f"{replica.address}:{replica.port}",
                 shard=shard.name,
@@ -167,6 +172,7 @@
                 body=run.demand.body,
                 timeout_s=run.demand.deadline_at - now,
                 repeatable=False,
+                n_connections_max=n_connections_max,
             )
         ]
 
@@ -177,11 +183,12 @@
         run = self.subs_.pop(event.sub_id, None)
         if run is None:
             return []
-        expected = (run.demand.request_id, run.snapshot.name, run.shard)
+        expected = (run.wire_id, run.snapshot.name, run.shard)
         if (event.request_id, event.snapshot, event.shard) != expected:
-            return self._on_unknown(state, run, FailureKind.BAD_ANSWER, now)
-        table = self.replica_table(state)
-        table.on_answer(run.replica, now - run.sent_at, event.load, now)
+            bad = SubFailed(event.sub_id, FailureKind.BAD_ANSWER)
+            effects = learn_failure(state, run, bad, now)
+            return effects + self._on_unknown(state, run, bad.kind, now)
+        effects = learn_answer(state, run, event, now)
         state.part(Quarantine).on_success(run.fingerprint, now)
         # JSON keeps integers of any size, which backend servers may send.
         answer = json.dumps(
@@ -193,19 +200,19 @@
             },
             separators=(",", ":"),
         ).encode()
-        return self._settle(state, run, answer, now)
+        return effects + self._settle(state, run, answer, now)
 
     def on_failed(self, state: HostState, event: SubFailed, now: float) -> list[Effect]:
         """Try another replica only if the request did certainly not run."""
         run = self.subs_.pop(event.sub_id, None)
         if run is None:
             return []
-        self.replica_table(state).on_failure(run.replica, event.kind, now)
+        effects = learn_failure(state, run, event, now)
         if event.kind in NOT_RUN_KINDS:
-            return self._send(state, run, now)
+            return effects + self._send(state, run, now)
         if event.kind is FailureKind.CRASH:
             state.part(Quarantine).on_crash(run.replica, (run.fingerprint,), now)
-        return self._on_unknown(state, run, event.kind, now)
+        return effects + self._on_unknown(state, run, event.kind, now)
 
     def _on_unknown(
         self, state: HostState, run: Run, kind: FailureKind, now: float
@@ -230,7 +237,7 @@
             run.ledger.settle(run.record, result.code, result.message, b"")
         self.runs_.pop(run.key(), None)
         effects: list[Effect] = [
-            Count("jackdawsill_tickets_settled", 1.0, (("code", str(run.record.code)),))
+            Count("tickets_settled", 1.0, (("code", str(run.record.code)),))
         ]
         for waiter in run.waiters:
             effects += self._reply(state, waiter, run.record, now)
--- a/jackdawsill/tickets/_office.py
+++ b/jackdawsill/tickets/_office.py
@@ -27,8 +27,6 @@
 from jackdawsill.tickets._ledger import ANSWERED, MAX_SPANS, Ledger, Record
 from jackdawsill.tickets._messages import TicketReply
 from jackdawsill.tickets._runs import (
-    BaseReplicaChoice,
-    BaseSnapshotChoice,
     LocalCall,
     RemoteWaiter,
     Run,
@@ -36,9 +34,6 @@
 from jackdawsill.tickets._ticket import decode_ticket
 
 KEY_BYTES = 32
-# Links take up to two pings to show that they are dead after a pause; a host
-# without any link is only then considered isolated.
-ISOLATED_AFTER_PAUSE_S = 2.0
 # Waiting calls of this host, each with its body in memory.
 MAX_CALLS = 1000
 # Replies of the daemon to a sub-request may come this long after its timeout.
@@ -51,6 +46,7 @@
     __slots__ = (
         "calls_",
         "closed_",
+        "dialled_",
         "forwards_",
         "handed_over_",
         "installed_",
@@ -58,31 +54,23 @@
         "ledgers_",
         "opening_",
         "paused_at_",
-        "replicas",
         "runs_",
-        "snapshots",
         "staged_",
         "subs_",
         "successor_",
     )
 
-    def __init__(
-        self,
-        key: bytes | None = None,
-        replicas: BaseReplicaChoice | None = None,
-        snapshots: BaseSnapshotChoice | None = None,
-    ) -> None:
+    def __init__(self, key: bytes | None = None) -> None:
         # The key is a secret and not a decision, so it does not come from the
         # host's seeded generator.
         self.key = key or secrets.token_bytes(KEY_BYTES)
-        self.replicas = replicas
-        self.snapshots = snapshots
         self.ledgers_: dict[str, Ledger] = {}  # the own one first
         self.runs_: dict[tuple[str, int], Run] = {}
         self.subs_: dict[int, Run] = {}
         self.calls_: dict[int, LocalCall] = {}  # by query id
         self.forwards_: dict[int, int] = {}  # forward id to query id
         self.opening_: dict[str, tuple[int, float]] = {}  # link id and start
+        self.dialled_: dict[int, float] = {}  # links opened here, last use
         self.staged_: dict[str, Staged] = {}
         # Senders of handovers. They are never forgotten: an old copy of a window
         # that is installed twice would let spent tickets run again.
@@ -92,22 +80,6 @@
         self.successor_: str | None = None
         self.handed_over_ = False
 
-    def replica_table(self, state: HostState) -> BaseReplicaChoice:
-        """Return the replica table given, or the one of the host."""
-        if self.replicas is None:
-            from jackdawsill.routing import ReplicaTable
-
-            self.replicas = state.part(ReplicaTable)
-        return self.replicas
-
-    def snapshot_table(self, state: HostState) -> BaseSnapshotChoice:
-        """Return the snapshot table given, or the one of the host."""
-        if self.snapshots is None:
-            from jackdawsill.snapshots import SnapshotTable
-
-            self.snapshots = state.part(SnapshotTable)
-        return self.snapshots
-
     def n_in_hand(self) -> int:
         """Return the number of callers and requests without an outcome."""
         return len(self.calls_) + len(self.runs_)
@@ -139,7 +111,7 @@
                 return [Refuse(query_id, errors.TicketsClosed("the host is stopping"))]
             ticket = ledger.issue(caller.name, request.route, now)
             exc = errors.TicketNeeded("send the request again with this ticket")
-            return [Count("jackdawsill_tickets_issued"), Refuse(query_id, exc, ticket)]
+            return [Count("tickets_issued"), Refuse(query_id, exc, ticket)]
         try:
             incarnation = decode_ticket(request.ticket).incarnation
         except JackdawsillError as exc:
@@ -190,14 +162,11 @@
         if self.paused_at_ is None:
             return True
         members = state.part(MemberTable)
-        own = members.self_member.incarnation
-        linked = any(
-            members.link_to(member.incarnation) is not None
-            for member in members.live_hosts()
-            if member.incarnation != own
-        )
-        isolated = not linked and now - self.paused_at_ >= ISOLATED_AFTER_PAUSE_S
-        if state.part(ConfigSpread).confirmed_ or isolated:
+        # Without any peer, membership confirms itself after a while, and nobody can
+        # confirm the generation.
+        linked = any(members.link_to(m.incarnation) for m in members.live_hosts())
+        confirmed = state.part(ConfigSpread).confirmed_ or not linked
+        if members.confirmed_ and confirmed:
             self.paused_at_ = None
         return self.paused_at_ is None
 
@@ -211,7 +180,7 @@
         for sender, staged in list(self.staged_.items()):
             if now - staged.began_at > STAGED_TIMEOUT_S:
                 del self.staged_[sender]
-        effects: list[Effect] = []
+        effects = self.close_idle_links(now)
         for sub_id, run in list(self.subs_.items()):
             if now > run.demand.deadline_at + LOST_REPORT_S:
                 del self.subs_[sub_id]
--- /dev/null
+++ b/jackdawsill/tickets/_replicas.py
@@ -0,0 +1,108 @@
+"""Choice of a replica for a ticketed request, and what is learned from it."""
+
+from jackdawsill.core import (
+    Effect,
+    FailureKind,
+    HostState,
+    SubAnswered,
+    SubFailed,
+)
+from jackdawsill.limits import ConcurrencyLimits, ConnectionShares, ShedWatch
+from jackdawsill.objects import Replica, Shard, Snapshot
+from jackdawsill.routing import ReplicaTable, spread_leaving
+from jackdawsill.snapshots import SnapshotTable
+from jackdawsill.tickets._runs import Run
+
+
+def bind_shard(state: HostState, run: Run, now: float) -> Shard | None:
+    """Bind a request to the newest snapshot of its group and to one shard."""
+    if run.snapshot is None:
+        group = state.objects_.routes[run.demand.route].group
+        run.snapshot = state.part(SnapshotTable).bind(
+            group, state.objects_, now, frozenset()
+        )
+    if run.snapshot is None or not run.snapshot.shards:
+        return None
+    shards = run.snapshot.shards
+    # The same body goes to the same shard, whatever host decides.
+    return shards[int(run.fingerprint, 16) % len(shards)]
+
+
+def pick_replica(
+    state: HostState, run: Run, shard: Shard, now: float
+) -> Replica | None:
+    """Return a replica that was not tried and has a connection for this host.
+
+    Unlike queries, ticketed requests do not wait for room on a replica: a replica
+    that is full sheds them, which is certain, and the next one is tried.
+    """
+    service = shard.service
+    routing = state.part(ReplicaTable)
+    declining = state.part(SnapshotTable).declining(run.snapshot.name, service, now)
+    excluded = set(run.tried) | set(declining)
+    shares = state.part(ConnectionShares)
+    while True:
+        replica = routing.pick(service, excluded, state.objects_, now, state.rng)
+        if replica is None:
+            return None
+        in_flight = routing.state_of(replica.name).in_flight
+        if in_flight < shares.share(replica.name, now):
+            return replica
+        excluded.add(replica.name)
+
+
+def learn_sent(state: HostState, run: Run, now: float) -> int:
+    """Count a request in flight; return the connections that may be open."""
+    state.part(ReplicaTable).on_sent(run.replica, now)
+    return max(state.part(ConnectionShares).share(run.replica, now), 1)
+
+
+def learn_answer(
+    state: HostState, run: Run, event: SubAnswered, now: float
+) -> list[Effect]:
+    """Pass an answer to the components that learn from it."""
+    routing = state.part(ReplicaTable)
+    in_flight = routing.state_of(run.replica).in_flight
+    routing.on_answer(run.replica, now - run.sent_at, event.load, now)
+    state.part(ConcurrencyLimits).on_answer(
+        run.replica, in_flight, _n_slots(state, run.snapshot), event.load, now
+    )
+    state.part(ShedWatch).on_answer(run.service, now)
+    snapshots = state.part(SnapshotTable)
+    snapshots.on_answered(run.snapshot.name, run.service, run.replica)
+    snapshots.on_query_ended(run.snapshot, answered=True)
+    if event.draining:
+        return spread_leaving(state, run.replica, "draining header", now)
+    return []
+
+
+def learn_failure(
+    state: HostState, run: Run, event: SubFailed, now: float
+) -> list[Effect]:
+    """Pass a failure to the components that learn from it."""
+    state.part(ReplicaTable).on_failure(run.replica, event.kind, now)
+    if event.kind is FailureKind.CAP:
+        state.part(ConnectionShares).on_cap_refused(run.replica, now)
+    elif event.kind is FailureKind.SHED:
+        n_slots = _n_slots(state, run.snapshot)
+        state.part(ConcurrencyLimits).on_shed(run.replica, n_slots, now)
+        state.part(ShedWatch).on_shed(run.service, now)
+    elif event.kind is FailureKind.DRAINING:
+        return spread_leaving(state, run.replica, "draining refusal", now)
+    elif event.kind is FailureKind.DECLINED and state.objects_ is not None:
+        state.part(SnapshotTable).on_declined(
+            run.snapshot,
+            run.service,
+            run.replica,
+            event.servable,
+            state.objects_,
+            now,
+        )
+    return []
+
+
+def _n_slots(state: HostState, snapshot: Snapshot) -> int:
+    """Return the number of slots of each replica of a snapshot's group."""
+    groups = state.objects_.groups if state.objects_ else {}
+    group = groups.get(snapshot.group)
+    return 1 if group is None else group.n_slots
--- a/jackdawsill/tickets/_runs.py
+++ b/jackdawsill/tickets/_runs.py
@@ -1,27 +1,12 @@
 """Requests in hand, and the callers and hosts that wait for their outcome."""
 
 from dataclasses import dataclass, field
-from typing import Protocol
 
-from jackdawsill.objects import ObjectSet, Replica, Snapshot
+from jackdawsill.objects import Snapshot
 from jackdawsill.tickets._ledger import Ledger, Record
 from jackdawsill.tickets._ticket import Ticket
 
 
-class BaseReplicaChoice(Protocol):
-    """Part of `routing.ReplicaTable` that tickets use."""
-
-    def pick(self, service, exclude, objects, now, rng) -> Replica | None:
-        """Return a usable replica of a service."""
-
-
-class BaseSnapshotChoice(Protocol):
-    """Part of `snapshots.SnapshotTable` that tickets use."""
-
-    def bind(self, group, objects: ObjectSet, now, exclude) -> Snapshot | None:
-        """Return the snapshot that a new request uses."""
-
-
 @dataclass(slots=True)
 class LocalCall:
     """Caller of this host that waits for a reply."""
@@ -69,7 +54,9 @@
     fingerprint: str
     waiters: list[int | RemoteWaiter]  # query ids of local callers, or forwards
     sub_id: int | None = None
+    wire_id: str = ""
     replica: str = ""
+    service: str = ""
     shard: str = ""
     snapshot: Snapshot | None = None
     sent_at: float = 0.0
