--- a/jackdawsill/hedging/__init__.py
+++ b/jackdawsill/hedging/__init__.py
@@ -1,7 +1,11 @@
 """Hedging: when to send a second sub-request, and how much extra load is allowed."""
 
 from jackdawsill.hedging import _handlers  # noqa: F401
-from jackdawsill.hedging._budget import BURST_TOKENS, ExtraLoadBudget
+from jackdawsill.hedging._budget import (
+    BURST_TOKENS,
+    HEDGE_RESERVE_TOKENS,
+    ExtraLoadBudget,
+)
 from jackdawsill.hedging._policy import (
     DEFAULT_DELAY_S,
     HEDGE_QUANTILE,
@@ -13,6 +17,7 @@
     "BURST_TOKENS",
     "DEFAULT_DELAY_S",
     "HEDGE_QUANTILE",
+    "HEDGE_RESERVE_TOKENS",
     "N_SAMPLES_MIN",
     "ExtraLoadBudget",
     "HedgePolicy",
--- a/jackdawsill/hedging/_budget.py
+++ b/jackdawsill/hedging/_budget.py
@@ -6,6 +6,8 @@
 
 # Tokens kept at most; a burst of stragglers may use them at once.
 BURST_TOKENS = 50.0
+# Tokens that hedges leave for retries: a hedge saves time, a retry a shard.
+HEDGE_RESERVE_TOKENS = 10.0
 
 
 @dataclass(slots=True)
@@ -40,17 +42,19 @@
         *,
         for_missing: bool = False,
         debt: float = 0.0,
+        reserve: float = 0.0,
     ) -> bool:
         """Spend `n` tokens and return True, or return False if there are too few.
 
         `for_missing` opens the second budget of a coverage-first caller. `debt`
         lets a bucket go below zero; hedges wait until the debt is earned back.
+        `reserve` leaves that many tokens in the bucket.
         """
         tokens = self._tokens(caller)
-        if for_missing and tokens.usual < n <= tokens.missing:
+        if for_missing and tokens.usual - reserve < n <= tokens.missing:
             tokens.missing -= n
             return True
-        if tokens.usual - n < -debt:
+        if tokens.usual - n < reserve - debt:
             return False
         tokens.usual -= n
         return True
--- a/jackdawsill/limits/_admission.py
+++ b/jackdawsill/limits/_admission.py
@@ -12,7 +12,7 @@
 WAIT_FRACTION_MAX = 0.5
 # The window may exceed the number of slots by this factor, because a query
 # occupies each slot only for a part of its time.
-SLOTS_FACTOR = 2.0
+SLOTS_FACTOR = 12.0
 
 
 class Offer(StrEnum):
--- a/jackdawsill/limits/_handlers.py
+++ b/jackdawsill/limits/_handlers.py
@@ -4,6 +4,7 @@
 from jackdawsill.limits._admission import AdmissionQueue
 from jackdawsill.limits._concurrency import ConcurrencyLimits
 from jackdawsill.limits._shares import ConnectionShares
+from jackdawsill.limits._sheds import ShedWatch
 from jackdawsill.membership import MemberTable
 
 
@@ -26,5 +27,6 @@
     if state.objects_ is not None:
         state.part(ConnectionShares).set_objects(state.objects_)
         state.part(ConcurrencyLimits).prune(state.objects_.replicas)
+        state.part(ShedWatch).prune(state.objects_.services)
         state.part(AdmissionQueue).set_objects(state.objects_)
     return []
--- a/jackdawsill/limits/_window.py
+++ b/jackdawsill/limits/_window.py
@@ -8,7 +8,7 @@
 MIN_WINDOW = 0.25
 # Shed fraction and latency ratio of a query above which the group is congested.
 SHED_FRACTION_CONGESTED = 0.05
-LATENCY_RATIO_CONGESTED = 2.0
+LATENCY_RATIO_CONGESTED = 3.0
 # The lowest mean latency is remembered for one to two of these periods.
 BASE_PERIOD_S = 30.0
 SERVICE_WEIGHT = 0.1
--- a/jackdawsill/query/_hedge.py
+++ b/jackdawsill/query/_hedge.py
@@ -1,7 +1,8 @@
 """Step 6: send stragglers to a second replica."""
 
 from jackdawsill.core import Count, Effect, HostState
-from jackdawsill.hedging import ExtraLoadBudget, HedgePolicy
+from jackdawsill.hedging import HEDGE_RESERVE_TOKENS, ExtraLoadBudget, HedgePolicy
+from jackdawsill.limits import ShedWatch
 from jackdawsill.quarantine import Verdict
 from jackdawsill.query._canary import move_canary
 from jackdawsill.query._model import Query, ShardTask
@@ -54,7 +55,8 @@
     if task is query.canary:
         move_canary(state, query, now, out)
         return
-    if found is not Verdict.CLEAR:
+    service = task.shard.service
+    if found is not Verdict.CLEAR or state.part(ShedWatch).is_shedding(service, now):
         return
     coverage = query.is_coverage_first
     n_max = N_IN_FLIGHT_COVERAGE if coverage else N_IN_FLIGHT_LATENCY
@@ -67,7 +69,8 @@
     if replica is None or any(sub.replica == replica.name for sub in task.subs):
         return
     budget = state.part(ExtraLoadBudget)
-    if not budget.try_spend(query.caller, now, for_missing=coverage):
+    reserve = HEDGE_RESERVE_TOKENS
+    if not budget.try_spend(query.caller, now, for_missing=coverage, reserve=reserve):
         return
     send_to(state, query, task, replica, now, out)
     out.append(Count("hedges_sent"))
--- a/jackdawsill/query/_wait.py
+++ b/jackdawsill/query/_wait.py
@@ -66,7 +66,9 @@
         out.extend(spread_leaving(state, sub.replica, "draining header", now))
     task.items = event.items
     query.n_answered += 1
-    query.latency_sum_s += now - sub.sent_at
+    # Counted from the start of the query, so that the wait for room at this host
+    # shows in the group's window as the queueing that it is.
+    query.latency_sum_s += now - query.started_at
     if task.subs:
         _cancel_losers(state, task, now, out)
     table.close(query, task)
