Add a microbenchmark of the reducer

Cause: a query has up to 140 sub-requests, and each costs the host time. Change: benchmarks/reducer.py runs 140-way queries with scripted answers.

--- /dev/null
+++ b/benchmarks/reducer.py
@@ -0,0 +1,134 @@
+"""Cost of 140-way queries in the reducer, in microseconds per sub-request.
+
+Run as `python -m benchmarks.reducer [--profile]`. Events are made by a scripted
+backend, whose cost is not counted.
+"""
+
+import cProfile
+import gc
+import pstats
+import sys
+import time
+
+from jackdawsill.core import (
+    Deliver,
+    FailureKind,
+    HostState,
+    LoadReport,
+    QueryArrived,
+    SendSub,
+    SubAnswered,
+    SubFailed,
+    Tick,
+    TimerFired,
+    reduce,
+)
+from jackdawsill.query.tests.fakes import World, object_set
+
+N_SERVICES = 26
+N_SHARDS = 140
+N_QUERIES = 400
+N_WARM_UP = 40
+ITEMS = [{"class": "open", "id": "x"}]
+
+
+class Clock:
+    """Add up the time spent in the reducer."""
+
+    def __init__(self, state: HostState) -> None:
+        self.state = state
+        self.spent_s = 0.0
+        self.now = 100.0
+        self.n_subs = 0
+
+    def feed(self, event) -> list:
+        """Pass an event to the reducer; return the effects."""
+        start = time.perf_counter()
+        effects = reduce(self.state, event, self.now)
+        self.spent_s += time.perf_counter() - start
+        return effects
+
+
+def answer(send: SendSub) -> SubAnswered:
+    """Return the answer to a sub-request."""
+    load = LoadReport(1, 2)
+    return SubAnswered(
+        send.sub_id, send.request_id, send.snapshot, send.shard, ITEMS, load
+    )
+
+
+def run_query(clock: Clock, query_id: int, n_slow: int, n_shed: int) -> None:
+    """Run one query; the last `n_slow` shards are hedged, others are shed."""
+    request = QueryArrived(query_id, f"r{query_id}", "find", "token1", b'{"q":1}')
+    pending = [e for e in clock.feed(request) if isinstance(e, SendSub)]
+    replies = 0
+    n_seen = 0
+    while pending:
+        slow = pending[len(pending) - n_slow :] if n_slow else []
+        ready = pending[: len(pending) - n_slow]
+        n_slow = 0
+        pending = []
+        for send in ready:
+            clock.n_subs += 1
+            clock.now += 0.00005
+            n_seen += 1
+            if n_seen <= N_SHARDS and (n_seen + 7 * query_id) % N_SHARDS < n_shed:
+                event = SubFailed(send.sub_id, FailureKind.SHED)
+            else:
+                event = answer(send)
+            for effect in clock.feed(event):
+                if isinstance(effect, SendSub):
+                    pending.append(effect)
+                replies += isinstance(effect, Deliver)
+        if slow:
+            clock.now += 0.06
+            effects = clock.feed(TimerFired(f"query:hedge:{query_id}"))
+            pending += [e for e in effects if isinstance(e, SendSub)]
+            pending += slow
+    clock.now += 0.05
+    clock.feed(Tick())
+    assert replies == 1, replies
+
+
+def measure(name: str, n_slow: int, n_shed: int) -> None:
+    """Print the cost of one kind of query."""
+    world = World(object_set(N_SERVICES, N_SHARDS, n_slots=8))
+    clock = Clock(world.state)
+    for i in range(N_WARM_UP):
+        run_query(clock, i + 1, n_slow, n_shed)
+    clock.spent_s, clock.n_subs = 0.0, 0
+    gc.collect()
+    for i in range(N_QUERIES):
+        run_query(clock, N_WARM_UP + i + 1, n_slow, n_shed)
+    assert world.table.is_empty()
+    cost_us = clock.spent_s / clock.n_subs * 1e6
+    query_us = clock.spent_s / N_QUERIES * 1e6
+    print(f"{name:24} {cost_us:6.1f} us per sub-request, {query_us:7.0f} us a query")
+
+
+def measure_refusal() -> None:
+    """Print the cost of refusing a query of a full group."""
+    world = World(object_set(N_SERVICES, N_SHARDS))
+    clock = Clock(world.state)
+    n_asked = 20_000
+    for i in range(n_asked):
+        clock.feed(QueryArrived(i + 1, f"r{i}", "find", "token1", b'{"q":1}'))
+    cost_us = clock.spent_s / n_asked * 1e6
+    print(f"{'refusal when full':24} {cost_us:6.1f} us a query")
+
+
+def main() -> None:
+    """Print the costs; with `--profile`, print where the time goes."""
+    if "--profile" in sys.argv:
+        profile = cProfile.Profile()
+        profile.runcall(measure, "healthy, profiled", 0, 0)
+        pstats.Stats(profile).sort_stats("tottime").print_stats(25)
+        return
+    measure("healthy", 0, 0)
+    measure("5% hedged", 7, 0)
+    measure("5% shed", 0, 7)
+    measure_refusal()
+
+
+if __name__ == "__main__":
+    main()
