--- a/jackdawsill/core/__init__.py
+++ b/jackdawsill/core/__init__.py
@@ -30,6 +30,7 @@
     Event,
     FailureKind,
     HostEntry,
+    HostLeaving,
     HostListRead,
     LinkClosed,
     LinkOpened,
@@ -43,15 +44,38 @@
     SubAnswered,
     SubFailed,
     Tick,
+    TicketsMoved,
     TimerFired,
 )
-from jackdawsill.core._reducer import HANDLERS, PAUSE_LIMIT_S, TICK_S, handles, reduce
+from jackdawsill.core._reducer import (
+    GATES,
+    HANDLERS,
+    PAUSE_LIMIT_S,
+    TICK_S,
+    gates,
+    handles,
+    reduce,
+)
 from jackdawsill.core._state import HostState
+from jackdawsill.core._views import (
+    EXPLAINS,
+    REPORTS,
+    STATUS_SECTIONS,
+    explain,
+    explains,
+    report,
+    status,
+    status_section,
+)
 
 __all__ = [
+    "EXPLAINS",
+    "GATES",
     "HANDLERS",
     "NOT_RUN_KINDS",
     "PAUSE_LIMIT_S",
+    "REPORTS",
+    "STATUS_SECTIONS",
     "TICK_S",
     "Answer",
     "CallerLeft",
@@ -67,6 +91,7 @@
     "Exit",
     "FailureKind",
     "HostEntry",
+    "HostLeaving",
     "HostListRead",
     "HostState",
     "LinkClosed",
@@ -93,7 +118,14 @@
     "SubAnswered",
     "SubFailed",
     "Tick",
+    "TicketsMoved",
     "TimerFired",
+    "explain",
+    "explains",
+    "gates",
     "handles",
     "reduce",
+    "report",
+    "status",
+    "status_section",
 ]
--- /dev/null
+++ b/jackdawsill/daemon/_build.py
@@ -0,0 +1,27 @@
+"""Build the state of a host from its settings."""
+
+import random
+from typing import Any
+
+from jackdawsill.assembly import assemble_host, new_incarnation
+from jackdawsill.core import HostState
+from jackdawsill.membership import Member
+from jackdawsill.objects import load_bundle
+
+
+def build_state(
+    cfg: Any, rng: random.Random, peer_port: int | None = None
+) -> HostState:
+    """Return the state of a new process with one object of each component.
+
+    `peer_port` is the bound port, where the settings let the kernel choose it.
+    """
+    host = cfg.host
+    member = Member(
+        incarnation=new_incarnation(rng),
+        name=host.name,
+        address=f"{host.address}:{peer_port or host.peer_port}",
+        failure_domain=host.failure_domain,
+    )
+    seeds = tuple(str(seed) for seed in cfg.platform.seeds)
+    return assemble_host(member, rng, load_bundle, host.fleet_key.encode(), seeds)
