Let handlers ignore parts that a host does not hold

Cause: handlers are registered for the whole process, and hosts assembled without the query path, such as those of the ticket tests, failed on Tick. Change: handlers return nothing without their part, and the stop waits for running queries through register_in_hand.

--- a/jackdawsill/limits/_handlers.py
+++ b/jackdawsill/limits/_handlers.py
@@ -11,7 +11,9 @@
 @handles(Tick)
 def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
     """Follow the view of the fleet; comparing it costs microseconds per tick."""
-    shares = state.part(ConnectionShares)
+    shares = state.parts_.get(ConnectionShares)
+    if shares is None:
+        return []
     members = state.part(MemberTable).live_hosts()
     if len(members) != len(shares.hosts_) or any(
         m.incarnation != known for m, known in zip(members, shares.hosts_, strict=True)
@@ -24,7 +26,7 @@
 @handles(SetAccepted)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Take capacities from the new set."""
-    if state.objects_ is not None:
+    if state.objects_ is not None and ConnectionShares in state.parts_:
         state.part(ConnectionShares).set_objects(state.objects_)
         state.part(ConcurrencyLimits).prune(state.objects_.replicas)
         state.part(ShedWatch).prune(state.objects_.services)
--- a/jackdawsill/query/_handlers.py
+++ b/jackdawsill/query/_handlers.py
@@ -22,14 +22,32 @@
 from jackdawsill.query._start import start
 from jackdawsill.query._table import QueryTable
 from jackdawsill.query._wait import on_answered, on_failed, release_shed
+from jackdawsill.stopping import InHand, register_in_hand
 
 TIMER_PREFIX = "query:"
 
 
+def _table(state: HostState) -> QueryTable | None:
+    """Return the query table, if this host has one."""
+    return state.parts_.get(QueryTable)
+
+
+@register_in_hand("query")
+def queries_in_hand(state: HostState) -> InHand:
+    """Report the queries without a reply."""
+    table = _table(state)
+    if table is None:
+        return InHand(0)
+    deadlines = (query.deadline_at for query in table.queries_.values())
+    return InHand(len(table.queries_), max(deadlines, default=None))
+
+
 @handles(QueryArrived)
 def on_query_arrived(state: HostState, event: QueryArrived, now: float) -> list[Effect]:
     """Check a request, then start, queue or refuse it."""
     out: list[Effect] = []
+    if _table(state) is None:
+        return out
     admit(state, event, now, out)
     return out
 
@@ -58,6 +76,8 @@
 def on_sub_answered(state: HostState, event: SubAnswered, now: float) -> list[Effect]:
     """Take an answer of a backend server."""
     out: list[Effect] = []
+    if _table(state) is None:
+        return out
     on_answered(state, event, now, out)
     return _finish_done(state, now, out)
 
@@ -66,6 +86,8 @@
 def on_sub_failed(state: HostState, event: SubFailed, now: float) -> list[Effect]:
     """Take a failure of a sub-request."""
     out: list[Effect] = []
+    if _table(state) is None:
+        return out
     on_failed(state, event, now, out)
     return _finish_done(state, now, out)
 
@@ -74,7 +96,10 @@
 def on_caller_left(state: HostState, event: CallerLeft, now: float) -> list[Effect]:
     """Cancel everything of a query whose caller is gone."""
     out: list[Effect] = []
-    query = state.part(QueryTable).queries_.get(event.query_id)
+    table = _table(state)
+    if table is None:
+        return out
+    query = table.queries_.get(event.query_id)
     if query is not None:
         forget(state, query, now, out, is_abandoned=True)
     return _finish_done(state, now, out)
@@ -83,7 +108,7 @@
 @handles(TimerFired)
 def on_timer_fired(state: HostState, event: TimerFired, now: float) -> list[Effect]:
     """End a query, send hedges or start a queued query."""
-    if not event.timer_id.startswith(TIMER_PREFIX):
+    if not event.timer_id.startswith(TIMER_PREFIX) or _table(state) is None:
         return []
     out: list[Effect] = []
     _, kind, name = event.timer_id.split(":", 2)
@@ -103,8 +128,10 @@
 @handles(Tick)
 def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
     """Look again at shards that wait; costs nothing when none does."""
-    table = state.part(QueryTable)
+    table = _table(state)
     out: list[Effect] = []
+    if table is None:
+        return out
     if table.shed_:
         release_shed(state, now, out)
     for service in tuple(table.waiting_):
@@ -118,9 +145,11 @@
 @handles(PauseDetected)
 def on_pause(state: HostState, event: PauseDetected, now: float) -> list[Effect]:
     """Drop work that is past its deadline before anything else is sent."""
-    table = state.part(QueryTable)
-    table.resumed_at_ = now
+    table = _table(state)
     out: list[Effect] = []
+    if table is None:
+        return out
+    table.resumed_at_ = now
     late = [q for q in table.queries_.values() if now >= q.cutoff_at]
     # Queued queries are refused first, so that none of them is started by the
     # end of a running one.
--- a/jackdawsill/routing/_handlers.py
+++ b/jackdawsill/routing/_handlers.py
@@ -45,7 +45,9 @@
         return []
     if state.objects_ is None or notice.replica not in state.objects_.replicas:
         return []
-    table = state.part(ReplicaTable)
+    table = state.parts_.get(ReplicaTable)
+    if table is None:
+        return []
     if not table.on_notice(notice.replica, notice.start_id, notice.ttl_s, now):
         return []
     return [
@@ -57,6 +59,6 @@
 @handles(SetAccepted)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Forget replicas that the new set does not contain."""
-    if state.objects_ is not None:
+    if state.objects_ is not None and ReplicaTable in state.parts_:
         state.part(ReplicaTable).prune(state.objects_.replicas)
     return []
