Spread leaving marks of ticketed requests and refuse resends truly

Change: tickets report draining through routing.spread_leaving; refusals of a request with a ticket at admission say outcome_unknown; in-flight counts end through ReplicaTable.on_ended, which ticketed requests do not use.

--- a/jackdawsill/query/_admit.py
+++ b/jackdawsill/query/_admit.py
@@ -14,7 +14,7 @@
     Refuse,
     SetTimer,
 )
-from jackdawsill.exceptions import JackdawsillError
+from jackdawsill.exceptions import JackdawsillError, Outcome
 from jackdawsill.limits import AdmissionQueue, Offer, Released
 from jackdawsill.objects import Caller, ObjectSet, Route
 from jackdawsill.quarantine import Quarantine, Verdict, fingerprint
@@ -57,6 +57,9 @@
             _check_room(state, route, caller, now + deadline_s, now)
         mark = _check_body(state, request, now)
     except JackdawsillError as exc:
+        if request.ticket is not None:
+            # An earlier send of the same ticket may have been run by its issuer.
+            exc.outcome = Outcome.OUTCOME_UNKNOWN
         out.append(Refuse(request.query_id, exc))
         out.append(_refused(exc))
         return
--- a/jackdawsill/query/_cancel.py
+++ b/jackdawsill/query/_cancel.py
@@ -12,6 +12,7 @@
     """Cancel a sub-request by message; a late answer to it is discarded."""
     state.part(QueryTable).remove_sub(sub)
     routing = state.part(ReplicaTable)
+    routing.on_ended(sub.replica)
     elapsed_s = now - sub.sent_at
     query = sub.query
     if now >= query.cutoff_at and 2 * elapsed_s >= now - query.arrived_at:
--- a/jackdawsill/query/_wait.py
+++ b/jackdawsill/query/_wait.py
@@ -147,6 +147,7 @@
         state.part(HedgePolicy).on_answer(service, latency_s, now)
     else:
         latency_s = routing.state_of(replica).latency_s
+    routing.on_ended(replica)
     routing.on_answer(replica, latency_s, event.load, now)
     slots = n_slots(state, sub.query)
     limits = state.part(ConcurrencyLimits)
@@ -163,6 +164,7 @@
     replica, kind, query = sub.replica, event.kind, sub.query
     service = sub.task.shard.service
     routing = state.part(ReplicaTable)
+    routing.on_ended(replica)
     backoff_s = routing.on_failure(replica, kind, now)
     if backoff_s:
         fields = {"replica": replica, "kind": kind.value, "backoff_s": backoff_s}
--- a/jackdawsill/routing/_handlers.py
+++ b/jackdawsill/routing/_handlers.py
@@ -19,8 +19,8 @@
     state: HostState, replica: str, source: str, now: float
 ) -> list[Effect]:
     """Mark a replica as leaving, and tell peers about the first evidence."""
-    table = state.part(ReplicaTable)
-    if not table.mark_leaving(replica, now):
+    table = state.parts_.get(ReplicaTable)
+    if table is None or not table.mark_leaving(replica, now):
         return []
     start_id = f"{state.name}:{state.rng.getrandbits(64):016x}"
     table.remember_notice(start_id, now)
--- a/jackdawsill/tickets/_issuer.py
+++ b/jackdawsill/tickets/_issuer.py
@@ -15,6 +15,7 @@
 )
 from jackdawsill.exceptions import JackdawsillError
 from jackdawsill.quarantine import Quarantine, Verdict, fingerprint
+from jackdawsill.routing import spread_leaving
 from jackdawsill.tickets import _errors as errors
 from jackdawsill.tickets import _log_events as log_events
 from jackdawsill.tickets._ledger import ANSWERED, RETENTION_S, Ledger, Record
@@ -184,6 +185,9 @@
         table.on_answer(run.replica, now - run.sent_at, event.load, now)
         state.part(Quarantine).on_success(run.fingerprint, now)
         # JSON keeps integers of any size, which backend servers may send.
+        effects: list[Effect] = []
+        if event.draining:
+            effects += spread_leaving(state, run.replica, "draining header", now)
         answer = json.dumps(
             {
                 "snapshot": event.snapshot,
@@ -193,7 +197,7 @@
             },
             separators=(",", ":"),
         ).encode()
-        return self._settle(state, run, answer, now)
+        return effects + self._settle(state, run, answer, now)
 
     def on_failed(self, state: HostState, event: SubFailed, now: float) -> list[Effect]:
         """Try another replica only if the request did certainly not run."""
@@ -201,8 +205,11 @@
         if run is None:
             return []
         self.replica_table(state).on_failure(run.replica, event.kind, now)
+        effects: list[Effect] = []
+        if event.kind is FailureKind.DRAINING:
+            effects += spread_leaving(state, run.replica, "draining refusal", now)
         if event.kind in NOT_RUN_KINDS:
-            return self._send(state, run, now)
+            return effects + self._send(state, run, now)
         if event.kind is FailureKind.CRASH:
             state.part(Quarantine).on_crash(run.replica, (run.fingerprint,), now)
         return self._on_unknown(state, run, event.kind, now)
