--- a/benchmarks/reducer.py
+++ b/benchmarks/reducer.py
@@ -85,6 +85,17 @@
             effects = clock.feed(TimerFired(f"query:hedge:{query_id}"))
             pending += [e for e in effects if isinstance(e, SendSub)]
             pending += slow
+    while not replies:
+        # Shards whose service sheds too much wait for a tick.
+        clock.now += 0.1
+        for effect in clock.feed(Tick()):
+            if isinstance(effect, SendSub):
+                pending.append(effect)
+        for send in pending:
+            clock.n_subs += 1
+            effects = clock.feed(answer(send))
+            replies += sum(isinstance(e, Deliver) for e in effects)
+        pending = []
     clock.now += 0.05
     clock.feed(Tick())
     assert replies == 1, replies
--- a/jackdawsill/limits/_sheds.py
+++ b/jackdawsill/limits/_sheds.py
@@ -4,6 +4,9 @@
 
 # No retry goes to a service that shed more than this fraction.
 SHED_FRACTION_MAX = 0.1
+# Fewer shed sub-requests than this are no trend; the only sub-request of a quiet
+# service would otherwise be a fraction of 1.
+N_SHED_MIN = 3
 # Half of the time over which the fraction is taken: the current and the previous
 # window together cover between a half and one second.
 WINDOW_S = 0.5
@@ -58,6 +61,8 @@
             return False
         window.advance(now)
         n_shed = window.n_shed + window.shed_before
+        if n_shed < N_SHED_MIN:
+            return False
         n_answered = window.n_answered + window.answered_before
         return n_shed > SHED_FRACTION_MAX * (n_shed + n_answered)
 
--- a/jackdawsill/query/_bind.py
+++ b/jackdawsill/query/_bind.py
@@ -35,8 +35,9 @@
 def rebind(state: HostState, query: Query, now: float, out: list[Effect]) -> bool:
     """Move a query to another snapshot, once; return False if it must stay.
 
-    What ran for the old snapshot is extra load. It may be spent in advance,
-    because an index change meets every running query at the same time.
+    The answers for the old snapshot are extra load. They may be paid in advance,
+    because an index change meets every running query at the same time; what is
+    still in flight is mostly declined as well.
     """
     old = query.snapshot
     assert old is not None
@@ -45,7 +46,7 @@
     new = snapshots.bind(query.route.group, state.objects_, now, (old.name,))
     if new is None:
         return False
-    n_lost = query.n_sent - query.n_not_run
+    n_lost = sum(task.items is not None for task in query.tasks)
     budget = state.part(ExtraLoadBudget)
     if not budget.try_spend(query.caller, now, n_lost, debt=len(query.tasks)):
         return False
@@ -56,7 +57,7 @@
         "n_declined": query.n_declined,
     }
     cancel_all(state, query, now, out)
-    snapshots.on_query_ended(old, answered=True)
+    snapshots.on_rejected(old, now)
     _use(query, new)
     out.append(LogEvent(QUERY_RESTARTED, fields))
     out.append(Count("queries_restarted"))
--- a/jackdawsill/query/tests/fakes.py
+++ b/jackdawsill/query/tests/fakes.py
@@ -38,7 +38,7 @@
     Shard,
     Snapshot,
 )
-from jackdawsill.quarantine import Verdict
+from jackdawsill.quarantine import Quarantine, Verdict
 from jackdawsill.query import QueryTable, attach_query_parts
 from jackdawsill.stopping import Phase, Stopping
 from jackdawsill.tickets import TicketOffice
@@ -46,7 +46,9 @@
 DOMAINS = ("d1", "d2", "d3")
 
 
-def object_set(n_services=5, n_shards=10, n_slots=2, versions=(1,), **changes):
+def object_set(
+    n_services=5, n_shards=10, n_slots=2, versions=(1,), generation=1, **changes
+):
     """Return a set with one group, three replicas a service, and two callers."""
     names = [f"svc{i:02}" for i in range(n_services)]
     replicas = [
@@ -89,7 +91,7 @@
     }
     parts.update(changes)
     tables = {kind: {o.name: o for o in objects} for kind, objects in parts.items()}
-    return ObjectSet(changes.get("generation", 1), "digest", **tables)
+    return ObjectSet(generation, f"digest{generation}", **tables)
 
 
 class FakeQuarantine:
@@ -116,10 +118,11 @@
         self.suspected.pop(fingerprint, None)
 
 
-class FakeTickets:
+class FakeTickets(TicketOffice):
     """Record requests that are not repeatable."""
 
     def __init__(self):
+        super().__init__(key=b"key")
         self.requests = []
 
     def on_request(self, state, request, now):
@@ -147,8 +150,6 @@
         for part in (self.members, self.stopping):
             self.state.attach(part)
         self.state.parts_[TicketOffice] = self.tickets
-        from jackdawsill.quarantine import Quarantine
-
         self.state.parts_[Quarantine] = self.quarantine
         self.behave = behave or (lambda replica, send: (0.01, None))
         self.now = 100.0
@@ -235,6 +236,11 @@
             self.running[send.replica] -= 1
         return send
 
+    def crash(self, replica):
+        """Lose everything in flight on a replica without notice."""
+        for send in [s for s in self.alive.values() if s.replica == replica]:
+            self.at(self.now + 0.0005, SubFailed(send.sub_id, FailureKind.CRASH))
+
     def run(self, until=None, ticks=True):
         """Run until nothing is left to do, or until a time."""
         limit = self.now + 60 if until is None else until
--- /dev/null
+++ b/jackdawsill/query/tests/test_failures.py
@@ -0,0 +1,467 @@
+"""Tests of queries whose backend servers fail."""
+
+import unittest
+
+from jackdawsill.core import (
+    FailureKind,
+    PeerMessageRead,
+    Policy,
+    SubAnswered,
+    SubFailed,
+    TimerFired,
+)
+from jackdawsill.exceptions import Outcome
+from jackdawsill.query import Condemned, NothingCovered, Overloaded
+from jackdawsill.query.tests.fakes import World, object_set
+from jackdawsill.routing import LeavingNotice, ReplicaTable
+from jackdawsill.snapshots import ServableNotice, SnapshotTable
+
+POISON = b'{"poison":1}'
+
+
+def domain_of(replica):
+    """Return the failure domain of a replica made by `object_set`."""
+    return f"d{int(replica[-1]) + 1}"
+
+
+class TestRetries(unittest.TestCase):
+    """Guards the reaction to sub-requests that give no answer."""
+
+    def run_one(self, behave, **fields):
+        world = World(behave=behave)
+        query_id = world.ask(**fields)
+        world.run()
+        self.assertTrue(world.table.is_empty())
+        self.assertEqual(len(world.replies[query_id]), 1)
+        return world, query_id
+
+    def test_one_bad_replica(self):
+        """Guards against a shard being lost with one of its replicas."""
+        for kind in FailureKind:
+            with self.subTest(kind=kind):
+                world, query_id = self.run_one(
+                    lambda replica, send, kind=kind: (
+                        (0.002, kind) if replica.endswith("-0") else (0.01, None)
+                    )
+                )
+                self.assertTrue(world.answer_of(query_id).complete)
+                self.assertLessEqual(len(world.sent), 20)
+
+    def test_nothing_was_run(self):
+        """Guards against `partly_run` for a query that certainly did not run."""
+        for kind in (FailureKind.CONNECT, FailureKind.CAP, FailureKind.STARTING):
+            world, query_id = self.run_one(lambda r, s, kind=kind: (0.002, kind))
+            error = world.refusal_of(query_id)
+            self.assertIsInstance(error, NothingCovered)
+            self.assertEqual(error.outcome, Outcome.NOT_RUN)
+            # Each shard is tried a few times and then given up.
+            self.assertLessEqual(len(world.sent), 30)
+
+    def test_reason_of_a_failed_shard(self):
+        """Guards against a missing shard with an invented reason."""
+        world, query_id = self.run_one(
+            lambda r, s: (
+                (0.002, FailureKind.SHED) if s.shard == "s001" else (0.01, None)
+            )
+        )
+        missing = world.answer_of(query_id).missing
+        self.assertEqual([(m.shard, m.reason) for m in missing], [("s001", "shed")])
+
+    def test_answers_for_another(self):
+        """Guards against answers of another request, shard or snapshot."""
+        for change in ({"request_id": "x"}, {"shard": "x"}, {"snapshot": "x"}):
+            world = World()
+            seen = set()
+
+            def behave(replica, send, world=world, seen=seen, change=change):
+                if send.shard in seen:
+                    return 0.01, None
+                seen.add(send.shard)
+                items = [{"class": "open", "id": "foreign"}]
+                return 0.01, world.answer(send, items=items, **change)
+
+            world.behave = behave
+            query_id = world.ask()
+            world.run()
+            answer = world.answer_of(query_id)
+            self.assertTrue(answer.complete)
+            self.assertNotIn("foreign", {item["id"] for item in answer.items})
+            self.assertEqual(world.counts["answers_discarded"], 10)
+
+    def test_no_retry_on_a_shedding_service(self):
+        """Guards against retries that add to the load of a shedding service."""
+        world = World(object_set(1, 10, n_slots=8))
+        world.behave = lambda r, s: (0.001, FailureKind.SHED)
+        world.ask(policy=Policy.COVERAGE)
+        world.run(until=world.now + 0.3)
+        n_sent = len(world.sent)
+        self.assertLessEqual(n_sent, 16)
+        world.run(until=world.now + 0.03)
+        self.assertEqual(len(world.sent), n_sent)
+
+    def test_extra_load_is_bounded(self):
+        """Guards against hedges beyond the caller's budget."""
+        world = World(object_set(26, 140, n_slots=40))
+        rng = world.state.rng
+        world.behave = lambda r, s: (0.3 if rng.random() < 0.3 else 0.01, None)
+        for i in range(30):
+            world.ask(at=world.now + 0.4 * i)
+        world.run()
+        extra = len(world.sent) / (30 * 140) - 1
+        self.assertGreater(world.counts["hedges_sent"], 50)
+        self.assertLessEqual(extra, 0.05)
+
+    def test_hedge_wins_and_loser_is_cancelled(self):
+        """Guards against a straggler that determines the latency of the query."""
+        world = World(object_set(26, 140))
+        for _ in range(10):
+            world.ask()
+            world.run()
+        slow = {}
+
+        def behave(replica, send):
+            first = slow.setdefault(send.shard, replica) == replica
+            return (0.25 if first and send.shard == "s007" else 0.01), None
+
+        world.behave = behave
+        start, n_sent = world.now, len(world.sent)
+        query_id = world.ask()
+        world.run()
+        self.assertTrue(world.answer_of(query_id).complete)
+        self.assertLess(world.replies[query_id][0][0] - start, 0.1)
+        losers = [s.shard for s in world.sent[n_sent:] if s.sub_id in world.cancelled]
+        self.assertEqual(losers, ["s007"])
+
+    def test_leaving_replica(self):
+        """Guards against work for a leaving replica here and at the peers."""
+        world = World()
+        world.members.links_["peer"] = 7
+        world.behave = lambda r, s: (
+            0.01,
+            world.answer(s, draining=True) if r == "svc00-0" else None,
+        )
+        while not any(s.replica == "svc00-0" for s in world.sent):
+            world.ask()
+            world.run()
+        (notice,) = [m for m in world.peer_messages if isinstance(m, LeavingNotice)]
+        self.assertEqual(notice.replica, "svc00-0")
+        peer = World()
+        peer.members.links_["other"] = 8
+        for _ in range(2):
+            peer.feed(PeerMessageRead(7, notice))
+        self.assertEqual(peer.peer_messages, [notice])
+        for host in (world, peer):
+            n_sent = len(host.sent)
+            for _ in range(20):
+                host.ask()
+                host.run()
+            self.assertNotIn("svc00-0", {s.replica for s in host.sent[n_sent:]})
+
+    def test_pause(self):
+        """Guards against sends for queued queries after their deadlines."""
+        world = World(behave=lambda r, s: (0.05, None))
+        ids = [world.ask() for _ in range(40)]
+        n_sent = len(world.sent)
+        self.assertGreater(len(world.table.queries_), 1)
+        world.now += 5.0
+        world.feed(TimerFired("query:end:0"))
+        self.assertEqual(len(world.sent), n_sent)
+        self.assertTrue(world.table.is_empty())
+        for query_id in ids:
+            error = world.refusal_of(query_id)
+            not_run = error.outcome is Outcome.NOT_RUN
+            self.assertEqual(not_run, isinstance(error, Overloaded))
+
+    def test_overload(self):
+        """Guards against overload that lowers the number of useful answers."""
+        useful = {}
+        for factor in (1, 4):
+            world = World(object_set(4, 8))
+            free = {}
+
+            def behave(replica, send, world=world, free=free):
+                # Two slots of 10 ms; a queue longer than 40 ms sheds.
+                slots = free.setdefault(replica, [0.0, 0.0])
+                start = max(min(slots), world.now)
+                if start > world.now + 0.04:
+                    return 0.001, FailureKind.SHED
+                slots[slots.index(min(slots))] = start + 0.01
+                return start + 0.01 - world.now, None
+
+            world.behave = behave
+            n_asked = 600 * factor
+            for i in range(n_asked):
+                world.ask(at=world.now + 2.0 * i / n_asked)
+            world.run()
+            replies = [reply for ((_, reply),) in world.replies.values()]
+            self.assertEqual(len(replies), n_asked)
+            answers = [r.answer for r in replies if hasattr(r, "answer")]
+            useful[factor] = sum(answer.complete for answer in answers)
+            self.assertTrue(
+                all(
+                    r.error.outcome is Outcome.NOT_RUN
+                    for r in replies
+                    if not hasattr(r, "answer")
+                )
+            )
+            self.assertTrue(world.table.is_empty())
+        self.assertGreaterEqual(useful[4], 0.9 * useful[1])
+
+
+class TestSnapshots(unittest.TestCase):
+    """Guards the binding of a query to one snapshot."""
+
+    def test_restart_on_another_snapshot(self):
+        """Guards against answers that mix snapshots or miss declined shards."""
+        world = World(object_set(versions=(1, 2)))
+
+        def behave(replica, send):
+            if send.snapshot == "v2":
+                return 0.002, SubFailed(send.sub_id, FailureKind.DECLINED, ("v1",))
+            return 0.01, None
+
+        world.behave = behave
+        query_id = world.ask()
+        world.run()
+        answer = world.answer_of(query_id)
+        self.assertEqual((answer.snapshot, answer.complete), ("v1", True))
+        self.assertEqual(world.counts["queries_restarted"], 1)
+        world.sent.clear()
+        world.ask()
+        world.run()
+        self.assertEqual({s.snapshot for s in world.sent}, {"v1"})
+        self.assertTrue(world.table.is_empty())
+
+    def test_new_snapshot_takes_over(self):
+        """Guards against a snapshot that is never tried again after declines."""
+        world = World(object_set(versions=(1, 2)))
+        world.members.links_["peer"] = 7
+        ready_at = world.now + 3.0
+
+        def behave(replica, send):
+            serves = "v2" if world.now >= ready_at else "v1"
+            if send.snapshot != serves:
+                return 0.002, SubFailed(send.sub_id, FailureKind.DECLINED, (serves,))
+            return 0.01, None
+
+        world.behave = behave
+        ids = [world.ask(at=world.now + 0.25 * i) for i in range(40)]
+        world.run()
+        answers = [world.answer_of(query_id) for query_id in ids]
+        self.assertTrue(all(a.complete for a in answers))
+        self.assertEqual({a.snapshot for a in answers[-20:]}, {"v2"})
+        notices = [m for m in world.peer_messages if isinstance(m, ServableNotice)]
+        self.assertEqual([n.snapshot for n in notices], ["v1", "v2"])
+
+    def test_notice_of_a_servable_snapshot(self):
+        """Guards against notices that go round for ever or name nothing known."""
+        world = World(object_set(versions=(1, 2)))
+        world.members.links_["peer"] = 7
+        for snapshot in ("v2", "v2", "v9"):
+            world.feed(PeerMessageRead(7, ServableNotice("g", snapshot, 2)))
+        self.assertEqual(len(world.peer_messages), 1)
+        table = world.state.part(SnapshotTable)
+        newest = table.newest_servable("g", world.objects, world.now)
+        self.assertEqual(newest.name, "v2")
+
+
+class TestCrashes(unittest.TestCase):
+    """Guards the separation of poison requests from lost failure domains."""
+
+    def test_poison_request(self):
+        """Guards against a request that crashes replica after replica."""
+        world = World(object_set(10, 30, n_slots=4))
+
+        def behave(replica, send):
+            if send.body == POISON:
+                world.crash(replica)
+                return 0.0005, FailureKind.CRASH
+            return 0.02, None
+
+        world.behave = behave
+        innocent = [world.ask(b'{"n":%d}' % i) for i in range(3)]
+        n_before = len(world.sent)
+        poison = world.ask(POISON)
+        resend = world.ask(POISON, at=world.now + 0.0007, token="token2")
+        world.run()
+        n_poison = sum(s.body == POISON for s in world.sent[n_before:])
+        self.assertEqual(n_poison, 30 + 1)
+        for query_id, outcome in (
+            (poison, Outcome.PARTLY_RUN),
+            (resend, Outcome.NOT_RUN),
+        ):
+            error = world.refusal_of(query_id)
+            self.assertIsInstance(error, Condemned)
+            self.assertEqual(error.outcome, outcome)
+        for query_id in innocent:
+            self.assertTrue(world.answer_of(query_id).complete)
+        self.assertEqual(len(world.quarantine.condemned), 1)
+        self.assertIsInstance(world.refusal_of(world.ask(POISON)), Condemned)
+        self.assertTrue(world.table.is_empty())
+
+    def test_suspected_resend_runs_as_a_canary(self):
+        """Guards against a suspected request that is fanned out or not alone."""
+        world = World(object_set(10, 30, n_slots=4), behave=lambda r, s: (0.02, None))
+        query_id = world.ask(POISON)
+        mark = world.table.queries_[query_id].fingerprint
+        world.run()
+        world.sent.clear()
+        world.quarantine.suspected[mark] = "svc09-0"
+        for i in range(4):
+            world.ask(b'{"n":%d}' % i)
+        n_before = len(world.sent)
+        seen = []
+
+        def behave(replica, send):
+            if send.body == POISON:
+                seen.append((world.running[replica], world.now))
+            return 0.02, None
+
+        world.behave = behave
+        query_id = world.ask(POISON)
+        world.run()
+        self.assertTrue(world.answer_of(query_id).complete)
+        first = [s for s in world.sent[n_before:] if s.body == POISON]
+        self.assertEqual(len(first), 30)
+        self.assertEqual(seen[0][0], 1)
+        self.assertGreater(seen[1][1], seen[0][1])
+        self.assertEqual(world.quarantine.suspected, {})
+
+    def test_lost_failure_domain(self):
+        """Guards against lost coverage when many replicas are lost at once."""
+        world = World(object_set(26, 140, n_slots=8))
+        lost = set()
+
+        def behave(replica, send):
+            if domain_of(replica) in lost:
+                return 0.001, FailureKind.CONNECT
+            return 0.02, None
+
+        world.behave = behave
+        ids = [world.ask(b'{"n":%d}' % i) for i in range(6)]
+        world.run(until=world.now + 0.005)
+        lost.add("d2")
+        for replica in world.objects.replicas:
+            if domain_of(replica) in lost:
+                world.crash(replica)
+        start = world.now
+        ids += [world.ask(b'{"n":%d}' % i, at=world.now + 0.01) for i in range(3)]
+        world.run()
+        for query_id in ids:
+            ((when, reply),) = world.replies[query_id]
+            self.assertTrue(reply.answer.complete, reply.answer.missing)
+            self.assertLess(when, start + 0.33)
+        self.assertEqual(world.quarantine.condemned, set())
+        self.assertTrue(world.table.is_empty())
+        reserved = [
+            s for s in world.state.part(ReplicaTable).replicas_.values() if s.reserved
+        ]
+        self.assertEqual(reserved, [])
+
+    def test_canary_on_a_straggler(self):
+        """Guards against one slow canary that holds the shards back."""
+        world = World(object_set(10, 30, n_slots=4))
+        start = world.now
+        canaries = []
+
+        def behave(replica, send):
+            if world.now == start:
+                first = replica == world.sent[0].replica
+                return (0.003, FailureKind.CRASH) if first else (0.01, None)
+            canaries.append(send)
+            return (None, None) if len(canaries) == 1 else (0.01, None)
+
+        world.behave = behave
+        query_id = world.ask()
+        world.run()
+        self.assertTrue(world.answer_of(query_id).complete)
+        self.assertIn(canaries[0].sub_id, world.cancelled)
+
+    def test_everything_crashes(self):
+        """Guards against endless canaries if the quarantine never condemns."""
+        world = World(behave=lambda r, s: (0.001, FailureKind.CRASH))
+        world.quarantine.on_crash = lambda replica, marks, now: ()
+        query_id = world.ask()
+        world.run()
+        error = world.refusal_of(query_id)
+        self.assertEqual(error.outcome, Outcome.PARTLY_RUN)
+        self.assertLessEqual(len(world.sent), 12)
+        self.assertTrue(world.table.is_empty())
+
+
+class TestRandomOrders(unittest.TestCase):
+    """Guards the invariants of queries in random orders of events."""
+
+    def test_random_failures(self):
+        """Guards against lost or doubled replies, wrong coverage and leaks."""
+        for seed in range(60):
+            with self.subTest(seed=seed):
+                self.check(seed)
+
+    def check(self, seed):
+        world = World(object_set(4, 12, versions=(1, 2)), seed=seed)
+        rng = world.state.rng.__class__(seed)
+        kinds = list(FailureKind)
+        broken = rng.random() * 0.6
+        ran = set()
+
+        def behave(replica, send):
+            request = send.request_id.split(".")[0]
+            roll = rng.random()
+            if roll < 0.05:
+                ran.add(request)
+                return None, None
+            if roll < broken:
+                kind = rng.choice(kinds)
+                if kind in (FailureKind.CRASH, FailureKind.TIMEOUT):
+                    ran.add(request)
+                return rng.random() * 0.1, SubFailed(send.sub_id, kind, ("v1",))
+            ran.add(request)
+            items = [{"class": "open", "id": (send.snapshot, send.shard, send.body)}]
+            delay_s = rng.expovariate(50)
+            if rng.random() < 0.02:
+                world.at(world.now + delay_s + 0.01, world.answer(send, items=items))
+            return delay_s, world.answer(send, items=items)
+
+        world.behave = behave
+        bodies = {}
+        for _ in range(40):
+            body = b'{"n":%d}' % rng.randrange(30)
+            policy = rng.choice(list(Policy))
+            when = world.now + rng.random()
+            bodies[world.ask(body, at=when, policy=policy)] = body
+        world.run()
+        self.assertTrue(world.table.is_empty())
+        self.assertEqual(world.alive, {})
+        for query_id, body in bodies.items():
+            reply = world.reply(query_id)
+            if not hasattr(reply, "answer"):
+                if reply.error.outcome is Outcome.NOT_RUN:
+                    self.assertNotIn(f"r{query_id}", ran)
+                continue
+            answer = reply.answer
+            expected = [(answer.snapshot, shard, body) for shard in answer.covered]
+            self.assertEqual([item["id"] for item in answer.items], expected)
+            named = [*answer.covered, *(m.shard for m in answer.missing)]
+            self.assertEqual(sorted(named), [f"s{i:03}" for i in range(12)])
+            self.assertTrue(all(m.reason for m in answer.missing))
+
+
+class TestForeignEvents(unittest.TestCase):
+    """Guards against events of other components."""
+
+    def test_unknown_sub_requests(self):
+        """Guards against ticketed sub-requests being taken or counted here."""
+        world = World()
+        world.ask()
+        n_before = dict(world.counts)
+        event = SubAnswered(10**6, "r.other.1", "v1", "s000", [])
+        self.assertEqual(world.feed(event), [])
+        self.assertEqual(world.feed(SubFailed(10**6, FailureKind.CRASH)), [])
+        self.assertEqual(world.feed(TimerFired("tickets:1")), [])
+        self.assertEqual(dict(world.counts), n_before)
+        world.run()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/jackdawsill/snapshots/_table.py
+++ b/jackdawsill/snapshots/_table.py
@@ -49,14 +49,16 @@
             if snapshot.name in exclude:
                 continue
             seen = self._observed(snapshot.name)
-            if seen.tried and self._is_servable(snapshot, seen, objects, now):
+            is_servable = self._is_servable(snapshot, seen, objects, now)
+            if seen.tried and is_servable:
                 return snapshot
             if now >= seen.probe_until and now >= seen.next_probe_at:
                 seen.probe_until = now + PROBE_TIMEOUT_S
                 seen.next_probe_at = now + PROBE_INTERVAL_S
-                # Replicas that declined earlier are asked again by the probe.
-                seen.declines.clear()
-                seen.changed = True
+                if not is_servable:
+                    # Replicas that declined earlier are asked again by the probe.
+                    seen.declines.clear()
+                    seen.changed = True
                 return snapshot
             if fallback is None:
                 fallback = snapshot
@@ -71,6 +73,17 @@
         if answered:
             seen.tried = True
 
+    def on_rejected(self, snapshot: Snapshot, now: float) -> None:
+        """Record that a query left a snapshot because too many shards declined.
+
+        Until a later probe succeeds, other queries do not repeat the attempt. The
+        declines are kept, so that the probe asks the replicas that may serve it.
+        """
+        seen = self._observed(snapshot.name)
+        seen.tried = False
+        seen.probe_until = float("-inf")
+        seen.next_probe_at = now + PROBE_INTERVAL_S
+
     def on_answered(self, snapshot: str, service: str, replica: str) -> None:
         """Record that a replica answered for a snapshot."""
         seen = self.observed_.get(snapshot)
@@ -137,9 +150,13 @@
             if known.name != snapshot:
                 continue
             seen = self._observed(snapshot)
-            # Fresh declines seen by this host take precedence over a peer.
             if seen.tried:
                 return False
+            if seen.declines:
+                # Declines seen by this host take precedence over a peer, but a
+                # probe may follow at once.
+                seen.next_probe_at = now
+                return False
             seen.tried = True
             self.announced_[group] = snapshot
             return True
