--- /dev/null
+++ b/jackdawsill/hedging/tests/test_hedging.py
@@ -0,0 +1,88 @@
+"""Tests of hedge delays and of the extra-load budget."""
+
+import random
+import unittest
+
+from jackdawsill.core import Policy
+from jackdawsill.hedging import (
+    BURST_TOKENS,
+    DEFAULT_DELAY_S,
+    N_SAMPLES_MIN,
+    ExtraLoadBudget,
+    HedgePolicy,
+)
+from jackdawsill.objects import Caller
+
+
+class TestHedgePolicy(unittest.TestCase):
+    """Guards the learned delays."""
+
+    def learn(self, policy, mean_s, n, start, step=0.01):
+        rng = random.Random(3)
+        for i in range(n):
+            policy.on_answer("s", rng.uniform(0, 2 * mean_s), start + i * step)
+        return policy.delay_s("s", start + n * step)
+
+    def test_default_before_enough_samples(self):
+        """Guards against a quantile that rests on a few answers."""
+        policy = HedgePolicy()
+        self.assertEqual(policy.delay_s("s", 0.0), DEFAULT_DELAY_S)
+        delay_s = self.learn(policy, 0.01, N_SAMPLES_MIN - 1, 0.0)
+        self.assertEqual(delay_s, DEFAULT_DELAY_S)
+
+    def test_learned_quantile_follows_the_service(self):
+        """Guards against a fixed delay, and against one that is never forgotten."""
+        policy = HedgePolicy()
+        self.assertAlmostEqual(self.learn(policy, 0.01, 2000, 0.0), 0.02, delta=0.002)
+        self.assertAlmostEqual(self.learn(policy, 0.1, 4000, 50.0), 0.2, delta=0.02)
+        self.assertAlmostEqual(self.learn(policy, 0.01, 4000, 200.0), 0.02, delta=0.002)
+
+    def test_odd_latencies(self):
+        """Guards against values that the histogram cannot hold."""
+        policy = HedgePolicy()
+        for latency_s in (0.0, -1.0, 1e9):
+            policy.on_answer("s", latency_s, 0.0)
+        policy.prune({})
+        self.assertEqual(policy.learned_, {})
+
+
+class TestExtraLoadBudget(unittest.TestCase):
+    """Guards the bound of the extra load."""
+
+    def caller(self, policy=Policy.LATENCY):
+        return Caller("c", "d", "t", policy, 0.05)
+
+    def spend_all(self, budget, **fields):
+        n = 0
+        while budget.try_spend(self.caller(), 0.0, **fields):
+            n += 1
+        return n
+
+    def test_tokens_are_earned_by_needed_sub_requests(self):
+        """Guards against extra load above the caller's fraction."""
+        budget = ExtraLoadBudget()
+        self.assertEqual(self.spend_all(budget), 0)
+        budget.earn(self.caller(), 140)
+        self.assertEqual(self.spend_all(budget), 7)
+        budget.earn(self.caller(), 10**6)
+        self.assertEqual(self.spend_all(budget), BURST_TOKENS)
+
+    def test_second_budget_for_missing_shards(self):
+        """Guards against a coverage-first caller spending more than twice."""
+        budget = ExtraLoadBudget()
+        budget.earn(self.caller(), 140)
+        self.assertEqual(self.spend_all(budget), 7)
+        self.assertEqual(self.spend_all(budget, for_missing=True), 7)
+
+    def test_reserve_and_debt(self):
+        """Guards against hedges that use the tokens of retries, and free debt."""
+        budget = ExtraLoadBudget()
+        budget.earn(self.caller(), 400)
+        self.assertEqual(self.spend_all(budget, reserve=10), 10)
+        self.assertEqual(self.spend_all(budget, debt=5), 15)
+        budget.earn(self.caller(), 100)
+        self.assertEqual(self.spend_all(budget), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/jackdawsill/limits/_admission.py
+++ b/jackdawsill/limits/_admission.py
@@ -122,6 +122,9 @@
         weight = self._weight(department) if waiting is None else waiting.weight
         total = queue.active_weight + (0.0 if n_ahead else weight)
         wait_s = (n_ahead + 1) * total / (weight * window.rate())
+        if not queue.n_running and not queue.n_queued:
+            # Only the pause after the last query is left.
+            wait_s = queue.not_before - now
         if wait_s > WAIT_FRACTION_MAX * left_s or wait_s + window.expected_s() > left_s:
             return Offer.REFUSED, wait_s
         return Offer.QUEUED, wait_s
--- a/jackdawsill/limits/_shares.py
+++ b/jackdawsill/limits/_shares.py
@@ -75,7 +75,7 @@
             return self.hosts_
         ranked = sorted(
             self.hosts_,
-            key=lambda host: xxhash.xxh3_64_intdigest(f"{replica}\x00{host}"),
+            key=lambda host: xxhash.xxh3_64_intdigest(f"{replica}\x00{host}".encode()),
         )
         return tuple(ranked[:n_usable])
 
