--- a/jackdawsill/membership/_handlers.py
+++ b/jackdawsill/membership/_handlers.py
@@ -61,7 +61,7 @@
     return handshake and link.state == LinkState.PENDING
 
 
-@handles(Tick)
+@handles(Tick, needs=MemberTable)
 def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
     """Do the periodic work that is due."""
     table = _active_table(state)
@@ -71,7 +71,7 @@
     return _drain(table) + effects
 
 
-@handles(LinkOpened)
+@handles(LinkOpened, needs=MemberTable)
 def on_link_opened(state: HostState, event: LinkOpened, now: float) -> list[Effect]:
     """Start the handshake."""
     table = _active_table(state)
@@ -92,7 +92,7 @@
     return [SendPeer(event.link_id, hello)]
 
 
-@handles(LinkClosed)
+@handles(LinkClosed, needs=MemberTable)
 def on_link_closed(state: HostState, event: LinkClosed, now: float) -> list[Effect]:
     """Report a peer that cannot be dialled; dial one whose link broke."""
     table = _active_table(state)
@@ -121,7 +121,7 @@
     return _drain(table) + effects
 
 
-@handles(PeerMessageRead)
+@handles(PeerMessageRead, needs=MemberTable)
 def on_peer_message(
     state: HostState, event: PeerMessageRead, now: float
 ) -> list[Effect]:
@@ -138,7 +138,7 @@
     return _drain(table) + effects
 
 
-@handles(HostListRead)
+@handles(HostListRead, needs=MemberTable)
 def on_host_list(state: HostState, event: HostListRead, now: float) -> list[Effect]:
     """Take in the platform's list as candidates and supporting evidence."""
     table = _active_table(state)
@@ -147,7 +147,7 @@
     return []
 
 
-@handles(PauseDetected)
+@handles(PauseDetected, needs=MemberTable)
 def on_pause(state: HostState, event: PauseDetected, now: float) -> list[Effect]:
     """Mark the view unconfirmed and ask all peers to confirm it."""
     table = _active_table(state)
--- a/jackdawsill/quarantine/_handlers.py
+++ b/jackdawsill/quarantine/_handlers.py
@@ -15,7 +15,7 @@
 from jackdawsill.quarantine._quarantine import Quarantine
 
 
-@handles(Tick)
+@handles(Tick, needs=Quarantine)
 def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
     """Expire what is over and send the notices that are due."""
     quarantine = state.parts_.get(Quarantine)
@@ -35,7 +35,7 @@
     return effects
 
 
-@handles(SetAccepted)
+@handles(SetAccepted, needs=Quarantine)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Learn the failure domains of the replicas."""
     quarantine = state.parts_.get(Quarantine)
@@ -45,7 +45,7 @@
     return []
 
 
-@handles(PeerUp)
+@handles(PeerUp, needs=Quarantine)
 def on_peer_up(state: HostState, event: PeerUp, now: float) -> list[Effect]:
     """Tell a new peer what is condemned, for it may have just started."""
     quarantine = state.parts_.get(Quarantine)
@@ -58,7 +58,7 @@
     ]
 
 
-@handles(PeerMessageRead)
+@handles(PeerMessageRead, needs=Quarantine)
 def on_peer_message(
     state: HostState, event: PeerMessageRead, now: float
 ) -> list[Effect]:
--- a/jackdawsill/query/_handlers.py
+++ b/jackdawsill/query/_handlers.py
@@ -22,10 +22,21 @@
 from jackdawsill.query._start import start
 from jackdawsill.query._table import QueryTable
 from jackdawsill.query._wait import on_answered, on_failed, release_shed
+from jackdawsill.stopping import InHand, register_in_hand
 
 TIMER_PREFIX = "query:"
 
 
+@register_in_hand("query")
+def queries_in_hand(state: HostState) -> InHand:
+    """Report the queries without a reply."""
+    table = state.parts_.get(QueryTable)
+    if table is None:
+        return InHand(0)
+    deadlines = (query.deadline_at for query in table.queries_.values())
+    return InHand(len(table.queries_), max(deadlines, default=None))
+
+
 @handles(QueryArrived, needs=QueryTable)
 def on_query_arrived(state: HostState, event: QueryArrived, now: float) -> list[Effect]:
     """Check a request, then start, queue or refuse it."""
@@ -74,7 +85,8 @@
 def on_caller_left(state: HostState, event: CallerLeft, now: float) -> list[Effect]:
     """Cancel everything of a query whose caller is gone."""
     out: list[Effect] = []
-    query = state.part(QueryTable).queries_.get(event.query_id)
+    table = state.parts_.get(QueryTable)
+    query = table.queries_.get(event.query_id)
     if query is not None:
         forget(state, query, now, out, is_abandoned=True)
     return _finish_done(state, now, out)
@@ -119,8 +131,8 @@
 def on_pause(state: HostState, event: PauseDetected, now: float) -> list[Effect]:
     """Drop work that is past its deadline before anything else is sent."""
     table = state.part(QueryTable)
-    table.resumed_at_ = now
     out: list[Effect] = []
+    table.resumed_at_ = now
     late = [q for q in table.queries_.values() if now >= q.cutoff_at]
     # Queued queries are refused first, so that none of them is started by the
     # end of a running one.
