--- a/jackdawsill/daemon/__init__.py
+++ b/jackdawsill/daemon/__init__.py
@@ -3,5 +3,6 @@
 from jackdawsill.daemon._build import build_state
 from jackdawsill.daemon._driver import Driver
 from jackdawsill.daemon._process import HostProcess
+from jackdawsill.daemon._runtime import tune_gc
 
-__all__ = ["Driver", "HostProcess", "build_state"]
+__all__ = ["Driver", "HostProcess", "build_state", "tune_gc"]
