--- a/jackdawsill/core/__init__.py
+++ b/jackdawsill/core/__init__.py
@@ -30,6 +30,7 @@
     Event,
     FailureKind,
     HostEntry,
+    HostLeaving,
     HostListRead,
     LinkClosed,
     LinkOpened,
@@ -43,9 +44,18 @@
     SubAnswered,
     SubFailed,
     Tick,
+    TicketsMoved,
     TimerFired,
 )
-from jackdawsill.core._reducer import HANDLERS, PAUSE_LIMIT_S, TICK_S, handles, reduce
+from jackdawsill.core._reducer import (
+    GATES,
+    HANDLERS,
+    PAUSE_LIMIT_S,
+    TICK_S,
+    gates,
+    handles,
+    reduce,
+)
 from jackdawsill.core._state import HostState
 from jackdawsill.core._views import (
     EXPLAINS,
@@ -60,6 +70,7 @@
 
 __all__ = [
     "EXPLAINS",
+    "GATES",
     "HANDLERS",
     "NOT_RUN_KINDS",
     "PAUSE_LIMIT_S",
@@ -80,6 +91,7 @@
     "Exit",
     "FailureKind",
     "HostEntry",
+    "HostLeaving",
     "HostListRead",
     "HostState",
     "LinkClosed",
@@ -106,9 +118,11 @@
     "SubAnswered",
     "SubFailed",
     "Tick",
+    "TicketsMoved",
     "TimerFired",
     "explain",
     "explains",
+    "gates",
     "handles",
     "reduce",
     "report",
