--- a/jackdawsill/daemon/__init__.py
+++ b/jackdawsill/daemon/__init__.py
@@ -2,7 +2,8 @@
 
 from jackdawsill.daemon._build import build_state
 from jackdawsill.daemon._driver import Driver
+from jackdawsill.daemon._main import main
 from jackdawsill.daemon._process import HostProcess
 from jackdawsill.daemon._runtime import tune_gc
 
-__all__ = ["Driver", "HostProcess", "build_state", "tune_gc"]
+__all__ = ["Driver", "HostProcess", "build_state", "main", "tune_gc"]
--- a/jackdawsill/daemon/_answers.py
+++ b/jackdawsill/daemon/_answers.py
@@ -7,7 +7,6 @@
 
 from jackdawsill.core import FailureKind, LoadReport, SendSub, SubAnswered, SubFailed
 
-MAX_ANSWER_BYTES = 1024 * 1024
 MAX_SERVABLE = 64  # names in a decline; more are not useful to any decision
 
 _REFUSALS = {
--- a/jackdawsill/daemon/_backend_client.py
+++ b/jackdawsill/daemon/_backend_client.py
@@ -16,15 +16,13 @@
     SubAnswered,
     SubFailed,
 )
-from jackdawsill.daemon._answers import (
-    MAX_ANSWER_BYTES,
-    check_answer,
-    classify_refusal,
-)
+from jackdawsill.daemon._answers import check_answer, classify_refusal
 from jackdawsill.daemon._bodies import read_limited
 
 Outcome = SubAnswered | SubFailed
 
+MAX_ANSWER_BYTES = 1024 * 1024
+READ_BUFFER_BYTES = 128 * 1024
 # Taken off the deadline passed to backend servers: the answer's way back, at most
 # 1.5 ms between failure domains, and the time to check and merge it.
 NETWORK_S = 0.003
@@ -113,9 +111,13 @@
     """Carry out `SendSub` and `CancelSub`; each sub-request ends in one event."""
 
     def __init__(
-        self, on_outcome: Callable[[SendSub, Outcome], None], tag: str
+        self,
+        on_outcome: Callable[[SendSub, Outcome], None],
+        tag: str,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
         self.on_outcome = on_outcome
+        self.max_answer_bytes = max_answer_bytes
         self.tag = tag  # makes wire ids of this process unlike those of others
         self.n_cancels_unsent_ = 0
         self._subs: dict[int, _Sub] = {}
@@ -138,7 +140,7 @@
             auto_decompress=False,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             headers={"Content-Type": "application/json"},
-            read_bufsize=MAX_ANSWER_BYTES // 8,
+            read_bufsize=READ_BUFFER_BYTES,
         )
 
     async def stop(self) -> None:
@@ -162,7 +164,12 @@
         pool = self._pools.get(effect.address)
         if pool is None:
             pool = self._pools[effect.address] = _Pool(effect.address)
-        pool.n_max = max(1, effect.n_connections_max)
+        if effect.repeatable:
+            pool.n_max = max(1, effect.n_connections_max)
+        else:
+            # Tickets send without a share of their own; they must not lower the
+            # share that queries were given.
+            pool.n_max = max(pool.n_max, effect.n_connections_max)
         wire_id = f"{effect.request_id}.{self.tag}{effect.sub_id}"
         at_s = self._loop.time() + effect.timeout_s
         sub = _Sub(effect, pool, wire_id, at_s)
@@ -291,14 +298,14 @@
             allow_redirects=False,
         )
         try:
-            body = await read_limited(resp, MAX_ANSWER_BYTES)
+            body = await read_limited(resp, self.max_answer_bytes)
         except (aiohttp.ClientError, OSError) as exc:
             resp.close()
             detail = f"truncated: {exc!r}"[:200]
             return SubFailed(effect.sub_id, FailureKind.BAD_ANSWER, detail=detail)
         if body is None:
             resp.close()
-            detail = f"answer over {MAX_ANSWER_BYTES} bytes"
+            detail = f"answer over {self.max_answer_bytes} bytes"
             return SubFailed(effect.sub_id, FailureKind.BAD_ANSWER, detail=detail)
         headers = resp.headers
         if resp.status == 200:
--- a/jackdawsill/daemon/_build.py
+++ b/jackdawsill/daemon/_build.py
@@ -1,16 +1,16 @@
 """Build the state of a host from its settings."""
 
 import random
-from typing import Any
 
 from jackdawsill.assembly import assemble_host, new_incarnation
 from jackdawsill.core import HostState
 from jackdawsill.membership import Member
 from jackdawsill.objects import load_bundle
+from jackdawsill.settings import Settings
 
 
 def build_state(
-    cfg: Any, rng: random.Random, peer_port: int | None = None
+    cfg: Settings, rng: random.Random, peer_port: int | None = None
 ) -> HostState:
     """Return the state of a new process with one object of each component.
 
--- a/jackdawsill/daemon/_caller_server.py
+++ b/jackdawsill/daemon/_caller_server.py
@@ -8,26 +8,29 @@
 
 from jackdawsill.core import CallerLeft, SetReadiness
 from jackdawsill.daemon._driver import Driver
-from jackdawsill.daemon._errors import InternalFault, NoReply
+from jackdawsill.daemon._errors import HostBusy, InternalFault, NoReply
 from jackdawsill.daemon._http_server import HttpServer, to_response
 from jackdawsill.daemon._log_events import BAD_CALLER_INPUT, LATE_REPLY, NO_REPLY
 from jackdawsill.daemon._replies import Replies, Reply, refusal
-from jackdawsill.daemon._requests import MAX_DEADLINE_MS, check_request
+from jackdawsill.daemon._requests import check_request
 from jackdawsill.exceptions import JackdawsillError
+from jackdawsill.settings import LimitSettings
 
-# Bound on a wait for a reply: the longest deadline and time to deliver.
-REPLY_LIMIT_S = MAX_DEADLINE_MS / 1000.0 + 5.0
+# Added to the longest deadline, it bounds the wait for a reply.
+REPLY_MARGIN_S = 5.0
 
 
 class CallerServer:
     """Turn callers' requests into events, and replies into responses."""
 
-    def __init__(self, driver: Driver) -> None:
+    def __init__(self, driver: Driver, limits: LimitSettings) -> None:
         self.driver = driver
+        self.limits = limits
+        self.reply_limit_s = limits.max_deadline_ms / 1000.0 + REPLY_MARGIN_S
         self.replies = Replies(self._on_unclaimed)
         self.ready_ = False
         self.reason_ = "no object set yet"
-        self.http = HttpServer("callers", self._on_error)
+        self.http = HttpServer("callers", self._on_error, limits.max_body_bytes)
         self.http.app.add_route(
             self._query, "/v1/query/<route:str>", methods=["POST"], name="query"
         )
@@ -43,13 +46,19 @@
 
     async def _query(self, request: Request, route: str) -> HTTPResponse:
         """Answer one request of a caller."""
+        self._check_room()
         query_id = self.driver.state.next_id()
         event = check_request(
-            route, request.headers, request.body, query_id, _new_request_id
+            route,
+            request.headers,
+            request.body,
+            query_id,
+            _new_request_id,
+            self.limits.max_deadline_ms,
         )
         fut = self.replies.expect(query_id)
         loop = asyncio.get_running_loop()
-        guard = loop.call_later(REPLY_LIMIT_S, self._on_no_reply, query_id)
+        guard = loop.call_later(self.reply_limit_s, self._on_no_reply, query_id)
         try:
             self.driver.feed(event)
             reply = await fut
@@ -62,6 +71,15 @@
             guard.cancel()
         return to_response(reply)
 
+    def _check_room(self) -> None:
+        """Refuse a request that would take the host over its limits."""
+        limits = self.limits
+        n_max = limits.max_running_queries + limits.max_queued_queries
+        if len(self.replies) >= n_max:
+            raise HostBusy(f"{n_max} requests are in hand", retry_after_ms=100)
+        if self.http.n_connections > limits.max_caller_connections:
+            raise HostBusy("too many connections are open", retry_after_ms=1000)
+
     async def _healthz(self, request: Request) -> HTTPResponse:
         """Answer the load balancer's health check."""
         if self.ready_:
@@ -80,7 +98,7 @@
 
     def _on_no_reply(self, query_id: int) -> None:
         """Answer a request that no component replied to."""
-        self.driver.log(NO_REPLY, query_id=query_id, limit_s=REPLY_LIMIT_S)
+        self.driver.log(NO_REPLY, query_id=query_id, limit_s=self.reply_limit_s)
         error = NoReply("no reply was made in time")
         self.replies.resolve(query_id, refusal(error))
         self.driver.feed(CallerLeft(query_id))
--- a/jackdawsill/daemon/_driver.py
+++ b/jackdawsill/daemon/_driver.py
@@ -21,12 +21,12 @@
     reduce,
 )
 from jackdawsill.daemon._errors import InternalFault
-from jackdawsill.daemon._log import write_log_event
 from jackdawsill.daemon._log_events import (
     EFFECT_FAILED,
     HANDLER_FAILED,
     UNKNOWN_EFFECT,
 )
+from jackdawsill.logs import log_fields
 
 # The loop's timers have a resolution of 1 ms. Delays are rounded up to it, since a
 # rounded-down delay makes the loop spin until the timer is due.
@@ -106,9 +106,9 @@
         finally:
             self._feeding = False
 
-    def log(self, number: int, **fields: Any) -> None:
+    def log(self, number: int, /, **fields: Any) -> None:
         """Write a log event of this host."""
-        write_log_event(self.state.name, number, fields)
+        log_fields(number, {**fields, "host": self.state.name})
 
     def _reduce_one(self, event: Event) -> None:
         """Reduce one event and carry out its effects."""
@@ -142,7 +142,7 @@
         self.feed(Tick())
 
     def _log_event(self, effect: LogEvent) -> None:
-        write_log_event(self.state.name, effect.number, effect.fields)
+        self.log(effect.number, **effect.fields)
 
     def _set_timer(self, effect: SetTimer) -> None:
         """Add a timer, or move the one with the same id."""
--- a/jackdawsill/daemon/_http_server.py
+++ b/jackdawsill/daemon/_http_server.py
@@ -18,11 +18,11 @@
     UnknownPath,
 )
 from jackdawsill.daemon._replies import Reply, refusal
-from jackdawsill.daemon._requests import MAX_BODY_BYTES
 from jackdawsill.exceptions import JackdawsillError, Outcome
 
 JSON_TYPE = "application/json"
 BACKLOG = 1024
+MAX_BODY_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 16 * 1024
 FLUSH_LIMIT_S = 2.0  # for replies that are being written when the host ends
 FLUSH_STEP_S = 0.002
@@ -54,7 +54,7 @@
     if isinstance(exc, JackdawsillError):
         return exc
     if isinstance(exc, PayloadTooLarge):
-        return BodyTooLarge(f"the body is over {MAX_BODY_BYTES} bytes")
+        return BodyTooLarge("the body is over the limit of this host")
     if isinstance(exc, NotFound):
         return UnknownPath("no resource has this path")
     if isinstance(exc, SanicMethodNotAllowed):
@@ -69,7 +69,12 @@
 class HttpServer:
     """One sanic application on one port, started and stopped in the running loop."""
 
-    def __init__(self, name: str, on_error: Callable[[JackdawsillError], None]) -> None:
+    def __init__(
+        self,
+        name: str,
+        on_error: Callable[[JackdawsillError], None],
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
         self.app = Sanic(
             f"jackdawsill-{name}-{next(_serials)}", configure_logging=False
         )
@@ -77,7 +82,7 @@
             {
                 "ACCESS_LOG": False,
                 "MOTD": False,
-                "REQUEST_MAX_SIZE": MAX_BODY_BYTES,
+                "REQUEST_MAX_SIZE": max_body_bytes,
                 "REQUEST_MAX_HEADER_SIZE": MAX_HEADER_BYTES,
                 "KEEP_ALIVE_TIMEOUT": 75,
                 "FALLBACK_ERROR_FORMAT": "json",
@@ -91,6 +96,11 @@
         self._server = None
         self.app.exception(Exception)(self._on_exception)
 
+    @property
+    def n_connections(self) -> int:
+        """Return the number of open connections."""
+        return 0 if self._server is None else len(self._server.connections)
+
     async def start(self, address: str, port: int) -> None:
         """Listen on the address."""
         sock = listening_socket(address, port)
--- a/jackdawsill/daemon/_log_events.py
+++ b/jackdawsill/daemon/_log_events.py
@@ -77,3 +77,10 @@
     "The daemon was given an effect of a class it does not know.",
     logbook.ERROR,
 )
+START_FAILED = register_log_event(
+    5011,
+    "start-failed",
+    "host {name} did not start: {detail}",
+    "A port of the settings could not be opened.",
+    logbook.ERROR,
+)
--- a/jackdawsill/daemon/_process.py
+++ b/jackdawsill/daemon/_process.py
@@ -34,6 +34,7 @@
 from jackdawsill.daemon._operator_server import OperatorServer
 from jackdawsill.daemon._plain_metrics import PlainMetrics
 from jackdawsill.daemon._platform import PlatformReader
+from jackdawsill.settings import Settings
 
 
 class HostProcess:
@@ -44,7 +45,7 @@
 
     def __init__(
         self,
-        cfg: Any,
+        cfg: Settings,
         *,
         rng: random.Random | None = None,
         state: HostState | None = None,
@@ -55,6 +56,7 @@
         self.exited = asyncio.Event()
         self.metrics = PlainMetrics()
         self._ending: asyncio.Task | None = None
+        self._started = False
         self._stopped = False
 
     @property
@@ -81,16 +83,19 @@
         if self.state is None:
             self.state = build_state(self.cfg, self.rng, peer_port)
         self.driver = Driver(self.state)
-        self.callers = CallerServer(self.driver)
+        self.callers = CallerServer(self.driver, self.cfg.limits)
         self.operators = OperatorServer(self.driver, self._status, self.metrics.render)
         self.links = LinkSet(self.driver)
         tag = f"{self.rng.getrandbits(32):08x}-"
-        self.backends = BackendClient(self._on_outcome, tag)
+        self.backends = BackendClient(
+            self._on_outcome, tag, self.cfg.limits.max_answer_bytes
+        )
         platform = self.cfg.platform
         self.platform = PlatformReader(
             self.driver, platform.config_url, platform.host_list_url
         )
         self._register_actions()
+        self._started = True
         await self.backends.start()
         await self.platform.start()
         await self.links.start(peer_socket)
@@ -107,7 +112,7 @@
 
     async def stop(self) -> None:
         """Close everything; callers that still wait get `outcome_unknown`."""
-        if self._stopped:
+        if self._stopped or not self._started:
             return
         self._stopped = True
         self.driver.stop()
--- a/jackdawsill/daemon/_requests.py
+++ b/jackdawsill/daemon/_requests.py
@@ -9,13 +9,11 @@
 from jackdawsill.core import Policy, QueryArrived
 from jackdawsill.daemon._errors import BadRequest
 
-MAX_BODY_BYTES = 256 * 1024
-MAX_DEADLINE_MS = 60_000
 MAX_TOKEN_CHARS = 512
 MAX_TICKET_CHARS = 1024
 
 # Request ids become part of a header and of the cancel path of backend servers.
-_REQUEST_ID = re.compile(r"[A-Za-z0-9_.~-]{1,128}")
+_REQUEST_ID = re.compile(r"[A-Za-z0-9_.~-]{1,64}")
 _ROUTE = re.compile(r"[A-Za-z0-9_.~-]{1,128}")
 _OBJECT = msgspec.json.Decoder(dict[str, Any])
 
@@ -26,6 +24,7 @@
     body: bytes,
     query_id: int,
     new_request_id: Callable[[], str],
+    max_deadline_ms: int,
 ) -> QueryArrived:
     """Return the event of a request, or raise `BadRequest`."""
     if not _ROUTE.fullmatch(route):
@@ -34,9 +33,7 @@
     if request_id is None:
         request_id = new_request_id()
     elif not _REQUEST_ID.fullmatch(request_id):
-        raise BadRequest(
-            "X-Request-Id must be 1 to 128 of the characters A-Za-z0-9_.~-"
-        )
+        raise BadRequest("X-Request-Id must be 1 to 64 of the characters A-Za-z0-9_.~-")
     ticket = headers.get("x-ticket")
     if ticket is not None and len(ticket) > MAX_TICKET_CHARS:
         raise BadRequest(f"X-Ticket is over {MAX_TICKET_CHARS} characters")
@@ -50,7 +47,7 @@
         route=route,
         token=_token(headers.get("authorization", "")),
         body=body,
-        deadline_s=_deadline_s(headers.get("x-deadline-ms")),
+        deadline_s=_deadline_s(headers.get("x-deadline-ms"), max_deadline_ms),
         policy=_policy(headers.get("x-policy")),
         ticket=ticket,
     )
@@ -67,15 +64,15 @@
     return token
 
 
-def _deadline_s(text: str | None) -> float | None:
+def _deadline_s(text: str | None, max_ms: int) -> float | None:
     """Return the deadline in seconds."""
     if text is None:
         return None
     if not (text.isascii() and text.isdigit() and len(text) <= 9):
         raise BadRequest("X-Deadline-Ms must be a whole number of milliseconds")
     ms = int(text)
-    if not 1 <= ms <= MAX_DEADLINE_MS:
-        raise BadRequest(f"X-Deadline-Ms must be 1 to {MAX_DEADLINE_MS}")
+    if not 1 <= ms <= max_ms:
+        raise BadRequest(f"X-Deadline-Ms must be 1 to {max_ms}")
     return ms / 1000.0
 
 
--- a/jackdawsill/daemon/tests/_fixtures.py
+++ b/jackdawsill/daemon/tests/_fixtures.py
@@ -3,20 +3,20 @@
 import asyncio
 import random
 import unittest
-from types import SimpleNamespace
 
 import aiohttp
 
 from jackdawsill.daemon import HostProcess, build_state
 from jackdawsill.daemon.tests._scatter import TOKEN, Scatter, object_set
+from jackdawsill.settings import HostSettings, PlatformSettings, Settings
 from jackdawsill.standins import LOOPBACK, BackendServer
 
 WAIT_S = 20.0  # bound on any wait of a test; never reached when it passes
 
 
-def settings(name: str = "h1") -> SimpleNamespace:
+def settings(name: str = "h1") -> Settings:
     """Return settings with ports chosen by the kernel."""
-    host = SimpleNamespace(
+    host = HostSettings(
         name=name,
         failure_domain="bogota",
         region="andes",
@@ -27,9 +27,8 @@
         fleet_key="k" * 32,
     )
     url = f"http://{LOOPBACK}:1"
-    return SimpleNamespace(
-        host=host, platform=SimpleNamespace(config_url=url, host_list_url=url, seeds=())
-    )
+    platform = PlatformSettings(config_url=url, host_list_url=url)
+    return Settings(host=host, platform=platform)
 
 
 class RawServer:
--- a/jackdawsill/daemon/tests/test_bad_input.py
+++ b/jackdawsill/daemon/tests/test_bad_input.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from jackdawsill.daemon._requests import MAX_BODY_BYTES
+from jackdawsill.daemon._http_server import MAX_BODY_BYTES
 from jackdawsill.daemon.tests._fixtures import WAIT_S, HostCase
 
 
