--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example objects and settings, and a demonstration that uses them."""
--- a/jackdawsill/daemon/_caller_server.py
+++ b/jackdawsill/daemon/_caller_server.py
@@ -8,7 +8,12 @@
 
 from jackdawsill.core import CallerLeft, SetReadiness
 from jackdawsill.daemon._driver import Driver
-from jackdawsill.daemon._errors import HostBusy, InternalFault, NoReply
+from jackdawsill.daemon._errors import (
+    HostBusy,
+    HostClosing,
+    InternalFault,
+    NoReply,
+)
 from jackdawsill.daemon._http_server import HttpServer, to_response
 from jackdawsill.daemon._log_events import BAD_CALLER_INPUT, LATE_REPLY, NO_REPLY
 from jackdawsill.daemon._replies import Replies, Reply, refusal
@@ -46,6 +51,10 @@
 
     async def _query(self, request: Request, route: str) -> HTTPResponse:
         """Answer one request of a caller."""
+        if not self.ready_:
+            # Callers open their next connection elsewhere, so that few connections
+            # are left when the host closes them at the end of a stop.
+            request.stream.keep_alive = False
         self._check_room()
         query_id = self.driver.state.next_id()
         event = check_request(
@@ -73,6 +82,8 @@
 
     def _check_room(self) -> None:
         """Refuse a request that would take the host over its limits."""
+        if self.driver.stopped_:
+            raise HostClosing("the host has ended its work", retry_after_ms=0)
         limits = self.limits
         n_max = limits.max_running_queries + limits.max_queued_queries
         if len(self.replies) >= n_max:
--- a/jackdawsill/daemon/_errors.py
+++ b/jackdawsill/daemon/_errors.py
@@ -33,6 +33,11 @@
     """The host stopped before a reply to the request was ready."""
 
 
+@register_error(5008, status=503)
+class HostClosing(JackdawsillError):
+    """The request arrived after the host had ended its work."""
+
+
 @register_error(5007, status=429)
 class HostBusy(JackdawsillError):
     """The host holds as many requests or connections as its settings allow."""
--- a/jackdawsill/daemon/_platform.py
+++ b/jackdawsill/daemon/_platform.py
@@ -37,7 +37,7 @@
     def __init__(self, driver: Driver, config_url: str, host_list_url: str) -> None:
         self.driver = driver
         self.config_url = config_url.rstrip("/")
-        self.host_list_url = host_list_url.rstrip("/")
+        self.host_list_url = host_list_url  # of the list itself
         self._session: aiohttp.ClientSession | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -96,10 +96,9 @@
 
     async def _read_host_list(self) -> None:
         """Read the host list and feed its event; a failed read is only logged."""
-        url = f"{self.host_list_url}/v1/hosts"
         try:
             status, _, body = await self._get(
-                url, {}, READ_TIMEOUT_S, MAX_HOST_LIST_BYTES
+                self.host_list_url, {}, READ_TIMEOUT_S, MAX_HOST_LIST_BYTES
             )
             if status != 200 or body is None:
                 raise ValueError(f"status {status}")
--- a/jackdawsill/standins/_backend.py
+++ b/jackdawsill/standins/_backend.py
@@ -79,6 +79,7 @@
         self.script = script or BackendScript()
         self.rng = rng or random.Random(0)
         self.listener = Listener(self._handle)
+        self.n_arrived_ = 0  # sub-requests, the refused ones included
         self.n_running_ = 0
         self.n_run_ = 0
         self.n_cancelled_ = 0
@@ -176,6 +177,7 @@
         script = self.script
         request_id = request.headers.get("X-Request-Id", "")
         snapshot = request.headers.get("X-Snapshot", "")
+        self.n_arrived_ += 1
         refusal = self._refuse(request, snapshot)
         if refusal is not None:
             return refusal
--- a/jackdawsill/standins/_host_list.py
+++ b/jackdawsill/standins/_host_list.py
@@ -9,6 +9,8 @@
 from jackdawsill.core import HostEntry
 from jackdawsill.standins._listener import Listener
 
+HOSTS_PATH = "/v1/hosts"
+
 
 class HostList:
     """Serve the list as it was `lag_s` ago, or until `catch_up` if frozen."""
@@ -24,8 +26,8 @@
 
     @property
     def url(self) -> str:
-        """Return the base URL."""
-        return self.listener.url
+        """Return the URL of the list."""
+        return f"{self.listener.url}{HOSTS_PATH}"
 
     async def start(self) -> None:
         """Listen; a restart uses the same port again."""
@@ -48,7 +50,7 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one read."""
-        if request.path != "/v1/hosts":
+        if request.path != HOSTS_PATH:
             return web.Response(status=404)
         if self.down:
             assert request.transport is not None
