--- /dev/null
+++ b/jackdawsill/daemon/tests/test_driver.py
@@ -0,0 +1,128 @@
+"""Tests of the driver."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from jackdawsill.core import (
+    HANDLERS,
+    ClearTimer,
+    Count,
+    HostState,
+    LinkClosed,
+    SendPeer,
+    SetTimer,
+    Tick,
+    TimerFired,
+)
+from jackdawsill.daemon import Driver
+from jackdawsill.daemon.tests._fixtures import WAIT_S
+
+
+class TestDriver(unittest.IsolatedAsyncioTestCase):
+    """Guards timers, the order of events and faults in handlers."""
+
+    async def asyncSetUp(self):
+        self.now = 100.0
+        self.step_s = 0.0  # added to the clock by each look at it
+        self.fired = []
+        self.n_wanted = 0
+        self.done = asyncio.Event()
+        patch = mock.patch.dict(HANDLERS, {TimerFired: [self.on_timer]}, clear=True)
+        patch.start()
+        self.addCleanup(patch.stop)
+        state = HostState("h1", "bogota", random.Random(1))
+        self.driver = Driver(state, self.clock)
+        self.driver.start()
+        self.addCleanup(self.driver.stop)
+
+    def clock(self):
+        self.now += self.step_s
+        return self.now
+
+    def on_timer(self, state, event, now):
+        self.fired.append((event.timer_id, now))
+        if len(self.fired) == self.n_wanted:
+            self.done.set()
+        return []
+
+    def set_timer(self, timer_id, at_s):
+        """Carry out `SetTimer`."""
+        self.driver.actions[SetTimer](SetTimer(timer_id, at_s))
+
+    async def wait_for(self, n_fired):
+        """Wait until this many timers have fired."""
+        self.n_wanted = n_fired
+        await asyncio.wait_for(self.done.wait(), WAIT_S)
+
+    async def test_due_timers_fire_in_their_order(self):
+        """Guards against timers that change places or fire twice."""
+        for timer_id, at_s in (("c", 99.9), ("a", 99.1), ("b", 99.5)):
+            self.set_timer(timer_id, at_s)
+        await self.wait_for(3)
+        self.assertEqual([timer_id for timer_id, _ in self.fired], ["a", "b", "c"])
+
+    async def test_moved_and_cleared_timers(self):
+        """Guards against a timer that fires at its old time or after its end."""
+        self.set_timer("moved", 99.0)
+        self.set_timer("moved", 99.8)
+        self.set_timer("cleared", 99.2)
+        self.driver.actions[ClearTimer](ClearTimer("cleared"))
+        self.driver.actions[ClearTimer](ClearTimer("unknown"))
+        self.set_timer("other", 99.5)
+        await self.wait_for(2)
+        self.assertEqual([timer_id for timer_id, _ in self.fired], ["other", "moved"])
+
+    async def test_no_timer_fires_early(self):
+        """Guards against a handler that sees a `now` before its own deadline."""
+        self.step_s = 0.0002
+        for n in range(20):
+            self.set_timer(f"t{n}", 100.01 + n * 0.0007)
+        await self.wait_for(20)
+        for timer_id, now in self.fired:
+            self.assertGreaterEqual(now, 100.01 + int(timer_id[1:]) * 0.0007)
+
+    async def test_many_cleared_timers_are_dropped(self):
+        """Guards against memory that grows with each query's timer."""
+        for n in range(10_000):
+            self.set_timer(f"t{n}", 500.0 + n)
+            self.driver.actions[ClearTimer](ClearTimer(f"t{n}"))
+        self.assertLess(len(self.driver._heap), 200)
+
+    async def test_ticks(self):
+        """Guards against a host whose periodic work stops."""
+        ticked = asyncio.Event()
+        HANDLERS[Tick] = [lambda state, event, now: ticked.set() or []]
+        await asyncio.wait_for(ticked.wait(), WAIT_S)
+        ticked.clear()
+        await asyncio.wait_for(ticked.wait(), WAIT_S)
+
+    async def test_event_during_an_effect_is_reduced_after_it(self):
+        """Guards against a reducer that is entered while it runs."""
+        seen = []
+
+        def on_closed(state, event, now):
+            seen.append(("begin", event.link_id))
+            return [SendPeer(event.link_id, None)] if event.link_id < 3 else []
+
+        def send(effect):
+            self.driver.feed(LinkClosed(effect.link_id + 1, ""))
+            seen.append(("sent", effect.link_id))
+
+        HANDLERS[LinkClosed] = [on_closed]
+        self.driver.actions[SendPeer] = send
+        self.driver.feed(LinkClosed(1, ""))
+        self.assertEqual(
+            seen, [("begin", 1), ("sent", 1), ("begin", 2), ("sent", 2), ("begin", 3)]
+        )
+
+    async def test_faults_do_not_stop_the_driver(self):
+        """Guards against one faulty handler or effect that ends the host."""
+        effects = [Count("unknown effect"), SendPeer(1, None), SetTimer("t", 99.0)]
+        HANDLERS[LinkClosed] = [lambda state, event, now: effects]
+        HANDLERS[Tick] = [lambda state, event, now: 1 / 0]
+        self.driver.actions[SendPeer] = lambda effect: 1 / 0
+        self.driver.feed(Tick())
+        self.driver.feed(LinkClosed(1, ""))
+        await self.wait_for(1)
