Check deadlines and recovery in the fault matrix

Cause: a reply after its deadline and a fleet that does not recover were not seen. Change: checks 'deadline' and 'recovery'; hosts are excused only while a fault keeps them from the others; a fault that strikes twice restores the first value.

--- a/jackdawsill/matrix/_backends.py
+++ b/jackdawsill/matrix/_backends.py
@@ -5,7 +5,7 @@
 
 from jackdawsill.core import FailureKind, SendSub, SubAnswered, SubFailed
 from jackdawsill.matrix._fakes import FakeBackend
-from jackdawsill.matrix._journal import Run, SubSent
+from jackdawsill.matrix._journal import LeavingEvidence, Run, SubSent
 
 if TYPE_CHECKING:
     from jackdawsill.matrix._world import FakeHost, World
@@ -164,11 +164,17 @@
             )
             world.feed(call.host, foreign)
         if backend.draining:
-            world.journal.leaving_since.setdefault(sub.replica, world.now)
+            self._note_leaving(call)
         world.feed(call.host, answer)
         if self.duplicate_answers:
             world.after(0.010, lambda: world.feed(call.host, answer))
 
+    def _note_leaving(self, call: SubInFlight) -> None:
+        world = self.world
+        assert world is not None
+        evidence = LeavingEvidence(world.now, call.host.name, call.sub.replica)
+        world.journal.leaving.append(evidence)
+
     def _items(self, sub: SendSub) -> list[dict[str, Any]]:
         return [
             {
@@ -206,7 +212,7 @@
 
         def tell() -> None:
             if kind is FailureKind.DRAINING:
-                world.journal.leaving_since.setdefault(call.sub.replica, world.now)
+                self._note_leaving(call)
             world.feed(call.host, event)
 
         world.after(delay_s, tell)
--- a/jackdawsill/matrix/_cells.py
+++ b/jackdawsill/matrix/_cells.py
@@ -9,7 +9,7 @@
 from jackdawsill.core import SendSub
 from jackdawsill.matrix._faults import FAULTS, FaultContext
 from jackdawsill.matrix._invariants import check_all
-from jackdawsill.matrix._scenario import Scenario
+from jackdawsill.matrix._scenario import RESEND_AFTER_S, Scenario
 from jackdawsill.matrix._world import FakeHost, World
 
 BuildHost = Callable[[World, FakeHost], Any]
@@ -106,7 +106,6 @@
             return
         self.struck = True
         sub = detail if isinstance(detail, SendSub) else None
-        self.scenario.world.journal.faults.append(self.fault)
         FAULTS[self.fault](FaultContext(self.scenario, host, sub))
 
 
@@ -197,13 +196,16 @@
 def script_configuration(scenario: Scenario) -> None:
     """Publish twice in quick succession."""
     world = scenario.world
-    host = next(iter(world.hosts.values()))
+    host, *others = world.hosts.values()
+    # The others can only learn the sets from the first host.
+    world.config_cut.update(other.name for other in others)
     scenario.publish_again()
     world.fire("publish", host)
     world.run_until(world.now + 0.7)
     scenario.publish_again()
     world.fire("publish", host)
     world.run_until(world.now + 1.0)
+    world.config_cut.difference_update(other.name for other in others)
 
 
 def script_ticket(scenario: Scenario) -> None:
@@ -219,8 +221,10 @@
     world = scenario.world
     host = world.hosts["h1"]
     for _ in range(3):
-        scenario.order()
+        scenario.order(host=host)
         scenario.query(host)
+    world.run_until(world.now + RESEND_AFTER_S)
+    scenario.query(host)
     world.run_until(world.now + 0.002)
     scenario.stop(host)
 
--- a/jackdawsill/matrix/_faults.py
+++ b/jackdawsill/matrix/_faults.py
@@ -56,9 +56,11 @@
 
 def set_for_a_while(ctx: FaultContext, target: Any, name: str, value: Any) -> None:
     """Set an attribute of a fake and restore it after `FAULT_S`."""
-    before = getattr(target, name)
+    # A fault that strikes twice must not take its own value for the original.
+    originals = ctx.scenario.originals
+    original = originals.setdefault((id(target), name), getattr(target, name))
     setattr(target, name, value)
-    ctx.heal_later(lambda: setattr(target, name, before))
+    ctx.heal_later(lambda: setattr(target, name, original))
 
 
 @fault("straggler")
@@ -183,14 +185,12 @@
 @fault("host_paused")
 def inject_host_paused(ctx: FaultContext) -> None:
     """Pause the host of the step."""
-    ctx.scenario.excuse(ctx.host)
-    ctx.scenario.world.pause(ctx.host, LONG_PAUSE_S)
+    ctx.scenario.pause(ctx.host, LONG_PAUSE_S)
 
 
 @fault("host_lost")
 def inject_host_lost(ctx: FaultContext) -> None:
     """End the host of the step; a new process replaces it."""
-    ctx.scenario.excuse(ctx.host)
     ctx.scenario.lose_host(ctx.host)
 
 
@@ -199,16 +199,13 @@
     """End another host than the one of the step."""
     peer = ctx.scenario.other_host(ctx.host)
     if peer is not None:
-        ctx.scenario.excuse(peer)
         ctx.scenario.lose_host(peer)
 
 
 @fault("partition")
 def inject_partition(ctx: FaultContext) -> None:
     """Cut the host of the step from all other hosts and the platform."""
-    ctx.scenario.excuse(ctx.host)
-    ctx.scenario.cut(ctx.host)
-    ctx.heal_later(lambda: ctx.scenario.heal(ctx.host), LONG_PAUSE_S)
+    ctx.scenario.cut(ctx.host, LONG_PAUSE_S)
 
 
 @fault("poison")
--- a/jackdawsill/matrix/_invariants.py
+++ b/jackdawsill/matrix/_invariants.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 
 from jackdawsill.exceptions import Outcome
-from jackdawsill.matrix._journal import Attempt, Journal, Reply
+from jackdawsill.matrix._journal import (
+    Attempt,
+    ExcuseKind,
+    Journal,
+    LeavingEvidence,
+    Reply,
+)
 from jackdawsill.objects import ObjectSet
 
 LEAVING_LIMIT_S = 3.0
@@ -159,33 +165,55 @@
     """Report work sent to a leaving backend server over the time limit."""
     violations = []
     for sub in journal.subs:
-        since_s = journal.leaving_since.get(sub.replica)
-        if since_s is None or sub.host in journal.unreachable:
+        known_s = min(
+            (
+                learned_at(journal, evidence, sub.host)
+                for evidence in journal.leaving
+                if evidence.replica == sub.replica
+            ),
+            default=float("inf"),
+        )
+        late_s = sub.at_s - known_s
+        if late_s <= LEAVING_LIMIT_S:
             continue
-        back_s = journal.returned_at.get(sub.replica, float("inf"))
-        if since_s + LEAVING_LIMIT_S < sub.at_s < back_s:
+        if not journal.is_excused(sub.host, sub.at_s, LEAVING_LIMIT_S):
             violations.append(
-                f"{sub.host} sent work to {sub.replica} {sub.at_s - since_s:.1f} s "
-                "after it was known to leave"
+                f"{sub.host} sent work to {sub.replica} {late_s:.1f} s after it was "
+                "known to leave"
             )
     return violations
 
 
+def learned_at(journal: Journal, evidence: LeavingEvidence, host: str) -> float:
+    """Return when evidence seen at one host could have reached another one."""
+    if evidence.host == host:
+        return evidence.at_s
+    ends = [
+        excuse.end_s
+        for excuse in journal.excuses
+        if excuse.kind is ExcuseKind.CUT
+        and excuse.host in (host, evidence.host)
+        and excuse.start_s <= evidence.at_s <= excuse.end_s
+    ]
+    return max([evidence.at_s, *ends])
+
+
 @invariant("I7")
 def check_graceful_stop(journal: Journal, sets: dict[int, ObjectSet]) -> list[str]:
     """Report requests cut off by a planned stop, and stops that do not end."""
     violations = []
     for host, asked_s in journal.stops.items():
-        if host in journal.unreachable:
+        if journal.is_lost(host):
             continue
         exit_s = journal.exits.get(host)
         if exit_s is None or exit_s - asked_s > STOP_LIMIT_S:
             violations.append(f"{host} did not exit within {STOP_LIMIT_S} s")
-    stopped = set(journal.stops) - set(journal.unreachable)
     violations += [
         f"{attempt.body!r} was cut off at {attempt.host}"
         for attempt in journal.attempts
-        if attempt.host in stopped and not attempt.replies
+        if attempt.host in journal.stops
+        and not journal.is_lost(attempt.host)
+        and not attempt.replies
     ]
     return violations
 
@@ -203,8 +231,9 @@
         first_s.setdefault(seen.generation, seen.at_s)
     for attempt, reply in answered(journal):
         for generation, at_s in first_s.items():
-            late = reply.at_s > at_s + IN_FORCE_LIMIT_S
-            if reply.host in journal.unreachable or not late:
+            if reply.at_s <= at_s + IN_FORCE_LIMIT_S:
+                continue
+            if journal.is_excused(reply.host, reply.at_s, IN_FORCE_LIMIT_S):
                 continue
             if reply.answer.generation < generation:
                 violations.append(
@@ -225,6 +254,33 @@
     ]
 
 
+@invariant("deadline")
+def check_deadlines(journal: Journal, sets: dict[int, ObjectSet]) -> list[str]:
+    """Report replies after the deadline from hosts that were not paused."""
+    return [
+        f"{attempt.body!r} got its reply {late_s:.3f} s after its deadline"
+        for attempt in journal.attempts
+        for reply in attempt.replies
+        if (late_s := reply.at_s - attempt.sent_at_s - attempt.deadline_s) > 0
+        and not journal.is_excused(attempt.host, reply.at_s, 0.1)
+    ]
+
+
+@invariant("recovery")
+def check_recovery(journal: Journal, sets: dict[int, ObjectSet]) -> list[str]:
+    """Report queries after all faults that do not get a complete answer."""
+    violations = []
+    if not journal.final:
+        violations.append("no host is ready after all faults")
+    for attempt in journal.final:
+        reply = attempt.replies[0] if attempt.replies else None
+        if reply is None or reply.answer is None:
+            violations.append(f"{attempt.body!r} at {attempt.host} got no answer")
+        elif not reply.answer.complete:
+            violations.append(f"{attempt.body!r} misses {reply.answer.missing}")
+    return violations
+
+
 def newest_set(journal: Journal, sets: dict[int, ObjectSet], reply: Reply) -> ObjectSet:
     """Return the set that was in force at a host when it replied."""
     generation = max(
--- a/jackdawsill/matrix/_journal.py
+++ b/jackdawsill/matrix/_journal.py
@@ -1,6 +1,7 @@
 """Typed records of what happened in one run of the fault matrix."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from jackdawsill.core import Answer
 from jackdawsill.exceptions import JackdawsillError
@@ -63,6 +64,33 @@
     replica: str
 
 
+@dataclass(slots=True, frozen=True)
+class LeavingEvidence:
+    """A host learned from a replica itself that the replica drains."""
+
+    at_s: float
+    host: str
+    replica: str
+
+
+class ExcuseKind(StrEnum):
+    """Name why a host cannot act on what the others know."""
+
+    PAUSED = "paused"
+    CUT = "cut"
+    LOST = "lost"
+
+
+@dataclass(slots=True, frozen=True)
+class Excuse:
+    """Time during which a fault keeps a host from the others."""
+
+    host: str
+    kind: ExcuseKind
+    start_s: float
+    end_s: float
+
+
 @dataclass(slots=True)
 class Journal:
     """Everything that the invariant checks look at."""
@@ -71,11 +99,19 @@
     attempts: list[Attempt] = field(default_factory=list)
     generations: list[GenerationSeen] = field(default_factory=list)
     subs: list[SubSent] = field(default_factory=list)
-    leaving_since: dict[str, float] = field(default_factory=dict)
-    returned_at: dict[str, float] = field(default_factory=dict)
-    lost_access_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    leaving: list[LeavingEvidence] = field(default_factory=list)
+    excuses: list[Excuse] = field(default_factory=list)
     stops: dict[str, float] = field(default_factory=dict)
     exits: dict[str, float] = field(default_factory=dict)
-    published: dict[int, float] = field(default_factory=dict)
-    unreachable: list[str] = field(default_factory=list)
-    faults: list[str] = field(default_factory=list)
+    final: list[Attempt] = field(default_factory=list)
+
+    def is_excused(self, host: str, at_s: float, grace_s: float) -> bool:
+        """Tell whether a fault kept a host from the others, up to a grace after it."""
+        return any(
+            e.host == host and e.start_s <= at_s <= e.end_s + grace_s
+            for e in self.excuses
+        )
+
+    def is_lost(self, host: str) -> bool:
+        """Tell whether a process of the host was ended without notice."""
+        return any(e.host == host and e.kind is ExcuseKind.LOST for e in self.excuses)
--- a/jackdawsill/matrix/_scenario.py
+++ b/jackdawsill/matrix/_scenario.py
@@ -2,12 +2,13 @@
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 from jackdawsill.core import QueryArrived, StopRequested
 from jackdawsill.exceptions import Outcome
 from jackdawsill.matrix._backends import BackendNetwork
 from jackdawsill.matrix._fakes import FakeBackend
-from jackdawsill.matrix._journal import Attempt, Reply
+from jackdawsill.matrix._journal import Attempt, Excuse, ExcuseKind, Reply
 from jackdawsill.matrix._sets import (
     TOKENS,
     add_repartition,
@@ -23,8 +24,7 @@
 QUIET_S = 14.0
 QUERY_DEADLINE_S = 0.340
 RESEND_AFTER_S = 0.6
-# The balancer acts on a health check that is up to this old.
-BALANCER_LAG_S = 1.0
+REPLACED_AFTER_S = 3.0
 
 
 class Scenario:
@@ -45,6 +45,7 @@
         self.world = World(build, BackendNetwork(backends), seed)
         self.rng = random.Random(seed + 1)
         self.publish(objects)
+        self.originals: dict[tuple[int, str], Any] = {}
         self.n_orders = 0
         self.last_body = b"{}"
         for number, domain in enumerate(DOMAINS, start=1):
@@ -57,7 +58,6 @@
         """Publish a set on the configuration service."""
         self.sets[objects.generation] = objects
         self.world.config.publish(objects)
-        self.world.journal.published[objects.generation] = self.world.now
 
     def newest(self) -> ObjectSet:
         """Return the set published last."""
@@ -75,17 +75,25 @@
         """Move the main caller to a department without access."""
         self.publish(move_caller(next_generation(self.newest())))
 
-    def excuse(self, host: FakeHost) -> None:
-        """Note a host that a fault keeps from knowing the present state."""
-        self.world.journal.unreachable.append(host.name)
+    def excuse(self, host: FakeHost, kind: ExcuseKind, duration_s: float) -> None:
+        """Note that a fault keeps a host from the others for a while."""
+        now = self.world.now
+        excuse = Excuse(host.name, kind, now, now + duration_s)
+        self.world.journal.excuses.append(excuse)
+
+    def pause(self, host: FakeHost, duration_s: float) -> None:
+        """Pause a host."""
+        self.excuse(host, ExcuseKind.PAUSED, duration_s)
+        self.world.pause(host, duration_s)
 
     def lose_host(self, host: FakeHost) -> None:
         """End a host; a new process starts on its machine."""
         if not host.alive:
             return
+        self.excuse(host, ExcuseKind.LOST, REPLACED_AFTER_S)
         self.world.stop_process(host)
         self.world.after(
-            3.0,
+            REPLACED_AFTER_S,
             lambda: self.world.start_host(host.name, host.address, host.failure_domain),
         )
 
@@ -96,8 +104,10 @@
         ]
         return others[0] if others else None
 
-    def cut(self, host: FakeHost) -> None:
-        """Cut a host from its peers and the platform."""
+    def cut(self, host: FakeHost, duration_s: float) -> None:
+        """Cut a host from its peers and the platform for a while."""
+        self.excuse(host, ExcuseKind.CUT, duration_s)
+        self.world.after(duration_s, lambda: self.heal(host))
         for other in self.world.hosts:
             if other != host.name:
                 self.world.cuts.add(frozenset((host.name, other)))
@@ -166,15 +176,21 @@
             )
         return attempt
 
-    def order(self, n_resends: int = 4) -> bytes:
-        """Send a not-repeatable request; resend it as a caller would."""
+    def order(self, n_resends: int = 4, host: FakeHost | None = None) -> bytes:
+        """Send a not-repeatable request, first to `host`; resend it as callers do."""
         self.n_orders += 1
         body = f'{{"order":{self.n_orders}}}'.encode()
-        self._send_order(body, None, n_resends)
+        self._send_order(body, None, n_resends, host)
         return body
 
-    def _send_order(self, body: bytes, ticket: str | None, n_left: int) -> None:
-        host = self.pick_host()
+    def _send_order(
+        self,
+        body: bytes,
+        ticket: str | None,
+        n_left: int,
+        host: FakeHost | None = None,
+    ) -> None:
+        host = host or self.pick_host()
         if host is None or n_left < 0:
             return
 
@@ -205,5 +221,5 @@
             backend.poison.clear()
         for host in list(world.hosts.values()):
             if host.alive and host.ready:
-                self.query(host)
+                world.journal.final.append(self.query(host, "kai"))
         world.run_until(world.now + 1.0)
