Feed error budgets and drains from queries and tickets

Cause: burn reports and planned stops need to know of finished and running requests of all components. Change: core event QueryFinished, raised by query and tickets and counted by burn; queries register what they have in hand; status sections of tickets and stopping; metrics describe every metric that a component names; the query pause handler lets hosts without queries pass, which a reducer test needs once all handlers are loaded. Conclusion: a host reports its budgets without further wiring.

--- a/jackdawsill/assembly.py
+++ b/jackdawsill/assembly.py
@@ -3,8 +3,10 @@
 import random
 from collections.abc import Iterable
 
+from jackdawsill.burn import ErrorBudgets
 from jackdawsill.core import HostState
 from jackdawsill.membership import Member, MemberTable
+from jackdawsill.metrics import LatencyHistograms
 from jackdawsill.quarantine import Quarantine
 from jackdawsill.query import attach_query_parts
 from jackdawsill.spread import ConfigSpread, LoadBundle
@@ -26,6 +28,8 @@
     state.attach(Quarantine())
     state.attach(Stopping())
     state.attach(TicketOffice())
+    state.attach(ErrorBudgets(member.name))
+    state.attach(LatencyHistograms())
     attach_query_parts(state, member.incarnation)
     return state
 
--- a/jackdawsill/burn/_budgets.py
+++ b/jackdawsill/burn/_budgets.py
@@ -1,8 +1,8 @@
 """Error budgets of one host: counts per caller and route in sliding windows."""
 
 from array import array
-from dataclasses import dataclass
 
+from jackdawsill.core import QueryFinished
 from jackdawsill.objects import Objective
 
 # Short window for alerts, medium one against false alarms, long one as the period of
@@ -19,19 +19,6 @@
 N_FIELDS = len(FIELDS)
 
 
-@dataclass(slots=True, frozen=True)
-class QueryRecord:
-    """One finished query; `latency_s` is None if it got no answer in time."""
-
-    caller: str
-    route: str
-    latency_s: float | None
-    n_shards: int
-    n_covered: int
-    n_needed: int
-    n_sent: int
-
-
 class SlidingSums:
     """Sum counts over the last `window_s` seconds in a ring of slots."""
 
@@ -79,7 +66,7 @@
         self.series_: dict[tuple[str, str], tuple[SlidingSums, ...]] = {}
 
     def on_query(
-        self, record: QueryRecord, objectives: dict[str, Objective], now: float
+        self, record: QueryFinished, objectives: dict[str, Objective], now: float
     ) -> None:
         """Count one finished query; queries without an objective are ignored."""
         objective = objective_of(record.route, objectives)
--- a/jackdawsill/burn/_render.py
+++ b/jackdawsill/burn/_render.py
@@ -7,10 +7,7 @@
 import math
 from dataclasses import asdict
 
-from matplotlib.backends.backend_agg import FigureCanvasAgg
-from matplotlib.figure import Figure
-
-from jackdawsill.burn._report import Budget, BurnReport, Measure
+from jackdawsill.burn._report import Budget, BurnReport, Latency, Measure
 
 HEADINGS = (
     "caller",
@@ -23,6 +20,7 @@
     "left",
     "exhausted in",
 )
+LATENCY_HEADINGS = ("caller", "route", "answers", "p50", "p90", "p99")
 # A plot with more bars than this cannot be read; the table holds all rows.
 MAX_BARS = 30
 STYLE = (
@@ -34,13 +32,23 @@
 
 def render_text(report: BurnReport) -> str:
     """Return a table of all budgets."""
-    rows = [HEADINGS, *[_cells(budget) for budget in report.budgets]]
-    widths = [max(len(row[i]) for row in rows) for i in range(len(HEADINGS))]
-    lines = [
-        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+    lines = [_summary(report), ""]
+    lines += _table([HEADINGS, *[_cells(budget) for budget in report.budgets]])
+    if report.latencies:
+        rows = [_latency_cells(latency) for latency in report.latencies]
+        lines += ["", *_table([LATENCY_HEADINGS, *rows])]
+    return "\n".join(lines) + "\n"
+
+
+def _table(rows: list[tuple[str, ...]]) -> list[str]:
+    """Return rows as lines with aligned columns."""
+    widths = [max(len(cell) for cell in column) for column in zip(*rows, strict=True)]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
         for row in rows
     ]
-    return "\n".join([_summary(report), "", *(line.rstrip() for line in lines)]) + "\n"
 
 
 def render_json(report: BurnReport) -> str:
@@ -62,10 +70,23 @@
         '<!DOCTYPE html><html lang="en"><head><meta charset="utf-8">'
         f"<title>Burn report</title><style>{STYLE}</style></head><body>"
         f"<h1>Burn report</h1><p>{html.escape(_summary(report))}</p>"
-        f"<table><tr>{head}</tr>{body}</table>{plots}</body></html>\n"
+        f"<table><tr>{head}</tr>{body}</table>{_latencies(report)}{plots}"
+        "</body></html>\n"
     )
 
 
+def _latencies(report: BurnReport) -> str:
+    """Return the HTML table of latencies."""
+    if not report.latencies:
+        return ""
+    head = "".join(f"<th>{heading}</th>" for heading in LATENCY_HEADINGS)
+    body = ""
+    for latency in report.latencies:
+        cells = (f"<td>{html.escape(c)}</td>" for c in _latency_cells(latency))
+        body += f"<tr>{''.join(cells)}</tr>"
+    return f"<h2>latencies</h2><table><tr>{head}</tr>{body}</table>"
+
+
 def _summary(report: BurnReport) -> str:
     """Return one line about the whole report."""
     n_over = sum(budget.left <= 0 for budget in report.budgets)
@@ -88,6 +109,13 @@
     )
 
 
+def _latency_cells(latency: Latency) -> tuple[str, ...]:
+    """Return the cells of one row of latencies."""
+    times = (latency.p50_s, latency.p90_s, latency.p99_s)
+    cells = (f"{time_s * 1000:.1f} ms" for time_s in times)
+    return (latency.caller, latency.route, str(latency.n), *cells)
+
+
 def _row(budget: Budget) -> str:
     """Return one row of the HTML table."""
     cells = "".join(f"<td>{html.escape(cell)}</td>" for cell in _cells(budget))
@@ -116,6 +144,11 @@
 
 def _plot(report: BurnReport, measure: Measure) -> str:
     """Return a plot of the worst budgets of a measure as base64 PNG."""
+    # Hosts import this package for their counts only, and matplotlib would take a
+    # large part of the memory that control may cost a host.
+    from matplotlib.backends.backend_agg import FigureCanvasAgg
+    from matplotlib.figure import Figure
+
     budgets = [budget for budget in report.budgets if budget.measure is measure]
     budgets = sorted(budgets, key=lambda budget: budget.left)[:MAX_BARS]
     labels = [f"{budget.caller} / {budget.route}" for budget in budgets]
--- a/jackdawsill/burn/_report.py
+++ b/jackdawsill/burn/_report.py
@@ -7,6 +7,10 @@
 
 from jackdawsill.burn._budgets import PERIOD_S, WINDOWS_S
 from jackdawsill.burn._errors import BurnReportInvalid
+from jackdawsill.metrics import HistogramCopy, HistogramInvalid, LatencyHistograms
+
+# Hosts bound their own histograms; all of them together may name more callers.
+MAX_MERGED_HISTOGRAMS = 2000
 
 
 class Measure(StrEnum):
@@ -59,6 +63,7 @@
     host: str
     generation: int
     series: list[HostSeries]
+    histograms: list[HistogramCopy] = field(default_factory=list)
 
 
 @dataclass(slots=True, frozen=True)
@@ -81,6 +86,18 @@
     exhausted_in_s: float | None
 
 
+@dataclass(slots=True, frozen=True)
+class Latency:
+    """Latencies of the answers of a caller and route, since the hosts started."""
+
+    caller: str
+    route: str
+    n: int
+    p50_s: float
+    p90_s: float
+    p99_s: float
+
+
 @dataclass(slots=True)
 class BurnReport:
     """Merged report of several hosts."""
@@ -89,6 +106,7 @@
     generation: int
     windows_s: tuple[int, ...] = WINDOWS_S
     budgets: list[Budget] = field(default_factory=list)
+    latencies: list[Latency] = field(default_factory=list)
 
 
 def merge_reports(reports: list[dict]) -> BurnReport:
@@ -117,9 +135,29 @@
     result = BurnReport(tuple(sorted(by_host)), max(generations, default=0))
     for _, series in sorted(merged.items()):
         result.budgets += budgets_of(series)
+    result.latencies = merge_latencies(list(by_host.values()))
     return result
 
 
+def merge_latencies(reports: list[HostReport]) -> list[Latency]:
+    """Return the quantiles over all hosts; raise BurnReportInvalid."""
+    merged = LatencyHistograms(max_histograms=MAX_MERGED_HISTOGRAMS)
+    try:
+        for report in reports:
+            merged.merge(report.histograms)
+    except HistogramInvalid as exc:
+        raise BurnReportInvalid(f"the report is not valid: {exc.message}") from exc
+    return [
+        Latency(
+            caller,
+            route,
+            merged.n_recorded(caller, route),
+            *(merged.quantile_s(caller, route, q) or 0.0 for q in (0.5, 0.9, 0.99)),
+        )
+        for caller, route in sorted(merged.histograms_)
+    ]
+
+
 def budgets_of(series: HostSeries) -> list[Budget]:
     """Return the error budgets of one caller and route."""
     counts = [series.windows.get(str(w), WindowCounts()) for w in WINDOWS_S]
--- a/jackdawsill/burn/tests/test_burn.py
+++ b/jackdawsill/burn/tests/test_burn.py
@@ -10,20 +10,22 @@
     BurnReportInvalid,
     ErrorBudgets,
     Measure,
-    QueryRecord,
+    burn_report,
     merge_reports,
     render_html,
     render_json,
     render_text,
 )
-from jackdawsill.objects import Objective
+from jackdawsill.core import HostState, QueryFinished, reduce
+from jackdawsill.metrics import LatencyHistograms
+from jackdawsill.objects import Objective, ObjectSet
 
 OBJECTIVES = {"o": Objective("o", "search", 340, 0.99, 0.999, 0.05)}
 
 
 def query(caller="ana", latency_s=0.1, n_covered=10, n_sent=10):
     """Return the record of a query over ten shards."""
-    return QueryRecord(caller, "search", latency_s, 10, n_covered, 10, n_sent)
+    return QueryFinished(caller, "search", latency_s, 10, n_covered, 10, n_sent)
 
 
 def budget(report, measure, caller="ana"):
@@ -87,7 +89,7 @@
 
     def test_routes_without_objective_are_ignored(self):
         """Guards against rows that no objective explains."""
-        record = QueryRecord("ana", "other-route", 0.1, 1, 1, 1, 1)
+        record = QueryFinished("ana", "other-route", 0.1, 1, 1, 1, 1)
         self.budgets.on_query(record, OBJECTIVES, 1.0)
         self.assertEqual(self.report(1.0).budgets, [])
 
@@ -148,6 +150,34 @@
         self.assertEqual(merge_reports([]).budgets, [])
 
 
+class TestHostReport(unittest.TestCase):
+    """Guards the way from a finished query to the merged report."""
+
+    def test_latencies_of_all_hosts(self):
+        """Guards against quantiles of one host in place of the whole fleet."""
+        reports = []
+        for name, latency_s in (("h1", 0.1), ("h2", 0.3)):
+            state = HostState(name, "bogota", random.Random(1))
+            self.assertEqual(burn_report(state, 1.0)["series"], [])
+            state.attach(ErrorBudgets(name))
+            state.attach(LatencyHistograms())
+            state.objects_ = ObjectSet(4, "d", objectives=OBJECTIVES)
+            reduce(state, query(latency_s=latency_s), 1.0)
+            reduce(state, query(latency_s=None), 1.0)
+            reports.append(json.loads(json.dumps(burn_report(state, 1.0))))
+        merged = merge_reports(reports)
+        latency = merged.latencies[0]
+        self.assertEqual((latency.n, merged.generation), (2, 4))
+        self.assertAlmostEqual(latency.p50_s, 0.1, delta=0.002)
+        self.assertAlmostEqual(latency.p99_s, 0.3, delta=0.005)
+        self.assertEqual(budget(merged, Measure.LATENCY).bad_fractions[0], 0.5)
+        self.assertRegex(render_text(merged), r"ana +search +2 +100\.\d ms")
+        self.assertIn("<h2>latencies</h2>", render_html(merged))
+        reports[0]["histograms"][0]["encoded"] = "?"
+        with self.assertRaises(BurnReportInvalid):
+            merge_reports(reports)
+
+
 class TestRender(unittest.TestCase):
     """Guards what operators read."""
 
--- a/jackdawsill/core/_events.py
+++ b/jackdawsill/core/_events.py
@@ -180,6 +180,22 @@
     """The operator asked for a graceful stop."""
 
 
+@dataclass(slots=True, frozen=True)
+class QueryFinished(Event):
+    """A caller got its reply; `latency_s` is None if it was no answer in time.
+
+    Raised by `query` and `tickets` for requests that were not refused as bad input.
+    """
+
+    caller: str
+    route: str
+    latency_s: float | None
+    n_shards: int
+    n_covered: int
+    n_needed: int
+    n_sent: int
+
+
 @dataclass(slots=True, frozen=True)
 class SetAccepted(Event):
     """A verified object set came into force on this host; raised by `spread`."""
--- a/jackdawsill/metrics/_instruments.py
+++ b/jackdawsill/metrics/_instruments.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import (
@@ -102,19 +101,28 @@
     def _make_reader(self) -> MetricReader:
         """Return the reader that the settings ask for."""
         if self.settings.mode is MetricsMode.PUSH:
+            # Imported only here: hosts that are scraped need no HTTP client.
+            from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
+                OTLPMetricExporter,
+            )
+
             exporter = OTLPMetricExporter(endpoint=self.settings.push_url)
             interval_ms = self.settings.push_interval_s * 1000
             return PeriodicExportingMetricReader(exporter, interval_ms)
         return PrometheusMetricReader(
-            disable_target_info=True, scope_info_enabled=False, registry=self.registry_
+            disable_target_info=True,
+            prefix="jackdawsill",
+            scope_info_enabled=False,
+            registry=self.registry_,
         )
 
-    def apply(self, effect: Count | Observe) -> None:
-        """Record an effect; unknown metrics are counted and dropped."""
-        if isinstance(effect, Count):
-            self._record(MetricKind.COUNTER, effect.name, effect.value, effect.labels)
-        else:
-            self._record(MetricKind.HISTOGRAM, effect.name, effect.value, effect.labels)
+    def count(self, effect: Count) -> None:
+        """Add to a counter; unknown metrics are counted and dropped."""
+        self._record(MetricKind.COUNTER, effect.name, effect.value, effect.labels)
+
+    def observe(self, effect: Observe) -> None:
+        """Record a value in a histogram; unknown metrics are counted and dropped."""
+        self._record(MetricKind.HISTOGRAM, effect.name, effect.value, effect.labels)
 
     def _record(
         self, kind: MetricKind, name: str, value: float, labels: Labels
@@ -148,7 +156,7 @@
             explicit_bucket_boundaries_advisory=BOUNDARIES_S,
         )
 
-    def scrape_text(self) -> str:
+    def render(self) -> str:
         """Return the metrics in the Prometheus text format; empty when pushed."""
         return generate_latest(self.registry_).decode()
 
--- a/jackdawsill/metrics/_registry.py
+++ b/jackdawsill/metrics/_registry.py
@@ -40,30 +40,42 @@
     return name
 
 
-TICKETS_ISSUED = register_metric(
-    "tickets_issued", MetricKind.COUNTER, "1", "Tickets issued."
+# Components name their metrics in the effects Count and Observe; their descriptions
+# stand here, so that operators find all of them in one place.
+COUNTERS: tuple[tuple[str, str, tuple[str, ...]], ...] = (
+    ("answers_discarded", "Backend answers that were not used.", ("reason",)),
+    ("hedges_sent", "Second sub-requests for a slow shard.", ()),
+    ("membership_handshakes_refused", "Peers that did not prove themselves.", ()),
+    ("membership_lost", "Hosts that were declared lost.", ()),
+    ("membership_refutations", "Times this host refuted its own loss.", ()),
+    ("queries_partial", "Answers that do not cover all shards.", ("route",)),
+    ("queries_refused", "Refused requests.", ("error",)),
+    ("queries_restarted", "Queries restarted on another snapshot.", ()),
+    ("spread_conflicts", "Two sets seen under one generation.", ()),
+    ("spread_manifests_unreadable", "Manifests that could not be decoded.", ()),
+    ("spread_pulls_failed", "Sets that could not be pulled.", ()),
+    ("spread_service_failures", "Failed reads of the configuration service.", ()),
+    ("spread_sets_accepted", "Object sets put in force.", ()),
+    ("spread_stale_manifests", "Manifests older than the set in force.", ()),
+    ("spread_watches_unanswered", "Watches that were never answered.", ()),
+    ("sub_requests_failed", "Failed sub-requests.", ("kind",)),
+    ("sub_requests_needed", "Sub-requests that the queries needed.", ("route",)),
+    ("sub_requests_sent", "Sub-requests sent for queries.", ("route",)),
+    ("tickets_forwarded", "Requests forwarded to their issuer.", ()),
+    ("tickets_issued", "Tickets issued.", ()),
+    ("tickets_resent", "Requests whose ticket was spent before.", ()),
+    ("tickets_settled", "Ticketed requests; code 0 is an answer.", ("code",)),
+    ("tickets_spent", "Tickets spent here.", ()),
 )
-TICKETS_SPENT = register_metric(
-    "tickets_spent", MetricKind.COUNTER, "1", "Tickets spent here."
-)
-TICKETS_RESENT = register_metric(
-    "tickets_resent",
-    MetricKind.COUNTER,
-    "1",
-    "Requests whose ticket was spent before.",
-)
-TICKETS_FORWARDED = register_metric(
-    "tickets_forwarded",
-    MetricKind.COUNTER,
-    "1",
-    "Requests forwarded to the issuer of their ticket.",
-)
-TICKETS_SETTLED = register_metric(
-    "tickets_settled",
-    MetricKind.COUNTER,
-    "1",
-    "Ticketed requests by recorded outcome; code 0 is an answer.",
-    ("code",),
+for _name, _description, _labels in COUNTERS:
+    register_metric(_name, MetricKind.COUNTER, "1", _description, _labels)
+
+QUERY_SECONDS = register_metric(
+    "query_seconds",
+    MetricKind.HISTOGRAM,
+    "s",
+    "Time from the arrival of a query to its answer.",
+    ("route",),
 )
 UNREGISTERED = register_metric(
     "metrics_unregistered",
--- a/jackdawsill/metrics/tests/test_metrics.py
+++ b/jackdawsill/metrics/tests/test_metrics.py
@@ -1,14 +1,17 @@
 """Tests of the instruments and of the latency histograms."""
 
 import random
+import re
 import threading
 import unittest
 from http.server import BaseHTTPRequestHandler, HTTPServer
+from pathlib import Path
 
 from opentelemetry.proto.collector.metrics.v1.metrics_service_pb2 import (
     ExportMetricsServiceRequest,
 )
 
+import jackdawsill
 from jackdawsill.core import Count, Observe
 from jackdawsill.metrics import (
     METRICS,
@@ -33,11 +36,11 @@
     def test_scrape(self):
         """Guards against metrics without a value, unit or description."""
         instruments = Instruments(MetricsSettings())
-        instruments.apply(Count("test_answers", 2.0, (("caller", "ana"), ("x", "y"))))
-        instruments.apply(Observe("test_latency", 0.3))
-        text = instruments.scrape_text()
-        self.assertIn('test_answers_total{caller="ana"} 2.0', text)
-        self.assertIn("# HELP test_answers_total Answers.", text)
+        instruments.count(Count("test_answers", 2.0, (("caller", "ana"), ("x", "y"))))
+        instruments.observe(Observe("test_latency", 0.3))
+        text = instruments.render()
+        self.assertIn('jackdawsill_test_answers_total{caller="ana"} 2.0', text)
+        self.assertIn("# HELP jackdawsill_test_answers_total Answers.", text)
         self.assertIn('test_latency_seconds_bucket{le="0.34"} 1.0', text)
         instruments.close()
 
@@ -45,8 +48,8 @@
         """Guards against memory that grows with what callers send."""
         instruments = Instruments(MetricsSettings())
         for i in range(MAX_LABEL_SETS + 5):
-            instruments.apply(Count("test_answers", 1.0, (("caller", f"c{i}"),)))
-        text = instruments.scrape_text()
+            instruments.count(Count("test_answers", 1.0, (("caller", f"c{i}"),)))
+        text = instruments.render()
         self.assertIn('test_answers_total{caller="other"} 5.0', text)
         merged = 'metrics_labels_merged_total{metric="test_answers"} 5.0'
         self.assertIn(merged, text)
@@ -55,10 +58,10 @@
     def test_unknown_metrics_are_counted(self):
         """Guards against an exception in the daemon because of a misspelt name."""
         instruments = Instruments(MetricsSettings())
-        instruments.apply(Count("no_such_metric"))
-        instruments.apply(Observe("test_answers", 1.0))
-        instruments.apply(Count("test_answers", -1.0))
-        text = instruments.scrape_text()
+        instruments.count(Count("no_such_metric"))
+        instruments.observe(Observe("test_answers", 1.0))
+        instruments.count(Count("test_answers", -1.0))
+        text = instruments.render()
         self.assertIn("metrics_unregistered_total 3.0", text)
         instruments.close()
 
@@ -68,6 +71,17 @@
             register_metric("test_answers", MetricKind.COUNTER, "1", "Others.")
         self.assertTrue(all(spec.description for spec in METRICS.values()))
 
+    def test_all_metrics_of_the_components_are_registered(self):
+        """Guards against metrics that are dropped because nobody described them."""
+        package = Path(jackdawsill.__file__).parent
+        used = set()
+        for path in package.rglob("*.py"):
+            if "tests" not in path.parts:
+                text = path.read_text(encoding="utf-8")
+                used |= set(re.findall(r'(?:Count|Observe)\(\s*"(\w+)"', text))
+        self.assertGreater(len(used), 10)
+        self.assertEqual(used - METRICS.keys(), set())
+
     def test_push(self):
         """Guards against a push that does not follow OTLP over HTTP."""
         bodies = []
@@ -89,7 +103,7 @@
             url = f"http://127.0.0.1:{server.server_port}/v1/metrics"
             settings = MetricsSettings(MetricsMode.PUSH, url, 3600.0, "h1")
             instruments = Instruments(settings)
-            instruments.apply(Count("test_answers", 3.0, (("caller", "ana"),)))
+            instruments.count(Count("test_answers", 3.0, (("caller", "ana"),)))
             instruments.close()
         finally:
             server.shutdown()
--- a/jackdawsill/query/_deliver.py
+++ b/jackdawsill/query/_deliver.py
@@ -7,6 +7,8 @@
     Effect,
     HostState,
     Observe,
+    QueryFinished,
+    Raise,
     Refuse,
 )
 from jackdawsill.exceptions import JackdawsillError, Outcome
@@ -35,6 +37,7 @@
     reply = _reply(state, query, now)
     out.append(reply)
     labels = (("route", query.route.name),)
+    out.append(Raise(_finished(query, reply, now)))
     if isinstance(reply, Deliver):
         out.append(Observe("query_seconds", now - query.arrived_at, labels))
         if not reply.answer.complete:
@@ -45,6 +48,20 @@
     forget(state, query, now, out)
 
 
+def _finished(query: Query, reply: Effect, now: float) -> QueryFinished:
+    """Return the event that feeds the error budgets."""
+    answered = isinstance(reply, Deliver)
+    return QueryFinished(
+        caller=query.caller.name,
+        route=query.route.name,
+        latency_s=now - query.arrived_at if answered else None,
+        n_shards=len(query.tasks),
+        n_covered=len(reply.answer.covered) if answered else 0,
+        n_needed=query.n_needed,
+        n_sent=query.n_sent,
+    )
+
+
 def forget(
     state: HostState,
     query: Query,
--- a/jackdawsill/query/_handlers.py
+++ b/jackdawsill/query/_handlers.py
@@ -22,6 +22,7 @@
 from jackdawsill.query._start import start
 from jackdawsill.query._table import QueryTable
 from jackdawsill.query._wait import on_answered, on_failed, release_shed
+from jackdawsill.stopping import InHand, register_in_hand
 
 TIMER_PREFIX = "query:"
 
@@ -118,7 +119,10 @@
 @handles(PauseDetected)
 def on_pause(state: HostState, event: PauseDetected, now: float) -> list[Effect]:
     """Drop work that is past its deadline before anything else is sent."""
-    table = state.part(QueryTable)
+    table = state.parts_.get(QueryTable)
+    if table is None:
+        # Other components can be embedded without queries.
+        return []
     table.resumed_at_ = now
     out: list[Effect] = []
     late = [q for q in table.queries_.values() if now >= q.cutoff_at]
@@ -135,3 +139,13 @@
     while done:
         finish(state, done.pop(), now, out)
     return out
+
+
+@register_in_hand("queries")
+def queries_in_hand(state: HostState) -> InHand:
+    """Report the queries without a reply to a stopping host."""
+    table = state.parts_.get(QueryTable)
+    if table is None or not table.queries_:
+        return InHand(0)
+    until_s = max(query.deadline_at for query in table.queries_.values())
+    return InHand(table.n_running(), until_s)
--- a/jackdawsill/stopping/_handlers.py
+++ b/jackdawsill/stopping/_handlers.py
@@ -1,5 +1,7 @@
 """Reducer handlers of the start and stop of a host."""
 
+from typing import Any
+
 from jackdawsill.core import (
     Effect,
     HostState,
@@ -7,6 +9,7 @@
     Tick,
     TimerFired,
     handles,
+    status_section,
 )
 from jackdawsill.stopping._stopping import Stopping
 
@@ -35,3 +38,17 @@
     """End a phase at its limit."""
     stopping = _stopping(state)
     return stopping.on_timer(state, event, now) if stopping else []
+
+
+@status_section("stopping")
+def stopping_status(state: HostState, now: float) -> dict[str, Any]:
+    """Return the phase and what a stop still waits for."""
+    stopping = _stopping(state)
+    if stopping is None:
+        return {}
+    in_hand = stopping.in_hand(state)
+    return {
+        "phase": str(stopping.phase_),
+        "n_in_hand": in_hand.n,
+        "successor": stopping.successor_,
+    }
--- a/jackdawsill/tickets/_handlers.py
+++ b/jackdawsill/tickets/_handlers.py
@@ -1,5 +1,7 @@
 """Reducer handlers of tickets."""
 
+from typing import Any
+
 from jackdawsill.core import (
     CallerLeft,
     Effect,
@@ -12,6 +14,7 @@
     Tick,
     TimerFired,
     handles,
+    status_section,
 )
 from jackdawsill.stopping import BaseHandover, InHand, register_handover
 from jackdawsill.stopping import register_in_hand as in_hand
@@ -120,3 +123,18 @@
         """Tell whether the successor has acknowledged."""
         office = _office(state)
         return office is None or office.handed_over_
+
+
+@status_section("tickets")
+def ticket_status(state: HostState, now: float) -> dict[str, Any]:
+    """Return what the ticket office holds."""
+    office = _office(state)
+    if office is None:
+        return {}
+    return {
+        "n_in_hand": office.n_in_hand(),
+        "n_bytes": sum(ledger.n_bytes() for ledger in office.ledgers_.values()),
+        "decides_for": sorted(office.ledgers_),
+        "closed": office.closed_,
+        "confirmed": office.paused_at_ is None,
+    }
--- a/jackdawsill/tickets/_office.py
+++ b/jackdawsill/tickets/_office.py
@@ -13,6 +13,8 @@
     HostState,
     PauseDetected,
     QueryArrived,
+    QueryFinished,
+    Raise,
     Refuse,
     SendPeer,
     SetTimer,
@@ -131,6 +133,7 @@
             caller=caller.name,
             body=request.body,
             ticket=request.ticket,
+            arrived_at=now,
             deadline_at=now + deadline_s,
             incarnation=incarnation,
             forward_id=state.next_id(),
@@ -220,12 +223,16 @@
         if isinstance(result, JackdawsillError):
             exc = result
         elif result.code == ANSWERED:
-            return [*effects, self._deliver(state, call, result.answer)]
+            latency_s = now - call.arrived_at
+            finished = Raise(_finished(call, latency_s))
+            return [*effects, self._deliver(state, call, result.answer), finished]
         else:
             exc = error_of(result.code, result.message)
         ticket = None
         if isinstance(exc, errors.TicketExpired) and not self.closed_:
             ticket = self.own_ledger(state).issue(call.caller, call.route, now)
+        if exc.status >= 500:
+            effects.append(Raise(_finished(call, None)))
         return [*effects, Refuse(call.query_id, exc, ticket)]
 
     def _deliver(self, state: HostState, call: LocalCall, answer: bytes) -> Effect:
@@ -251,3 +258,9 @@
                 items=tuple(i for i in fields["items"] if i.get("class") in visible),
             ),
         )
+
+
+def _finished(call: LocalCall, latency_s: float | None) -> QueryFinished:
+    """Return the event of a reply; extra sends are known to the issuer only."""
+    n_covered = int(latency_s is not None)
+    return QueryFinished(call.caller, call.route, latency_s, 1, n_covered, 1, 1)
--- a/jackdawsill/tickets/_runs.py
+++ b/jackdawsill/tickets/_runs.py
@@ -17,6 +17,7 @@
     caller: str
     body: bytes
     ticket: str
+    arrived_at: float
     deadline_at: float
     incarnation: str  # issuer of the ticket
     forward_id: int = 0
--- a/jackdawsill/tickets/tests/test_office.py
+++ b/jackdawsill/tickets/tests/test_office.py
@@ -3,18 +3,26 @@
 import unittest
 from dataclasses import replace
 
+from jackdawsill.burn import ErrorBudgets, burn_report
 from jackdawsill.core import (
+    CloseLink,
     FailureKind,
     LinkClosed,
     PauseDetected,
+    QueryArrived,
+    SubAnswered,
     Tick,
     TimerFired,
+    reduce,
 )
 from jackdawsill.exceptions import Outcome
 from jackdawsill.membership import MemberTable
+from jackdawsill.objects import Objective
 from jackdawsill.quarantine import Quarantine
+from jackdawsill.routing import ReplicaTable
 from jackdawsill.spread import ConfigSpread
-from jackdawsill.tickets import TicketReply
+from jackdawsill.tickets import TicketReply, check_refusal
+from jackdawsill.tickets._errors import TicketInvalid, TicketNotEntitled
 from jackdawsill.tickets._ledger import RETENTION_S, TICKET_TTL_S, Ledger
 from jackdawsill.tickets.tests.fleet import Fleet
 
@@ -206,6 +214,42 @@
         self.assertEqual(codes, [3009, 3009, 3009, 0])
         self.assertEqual(fleet.ran[b"x"], 4)
 
+    def test_refusal_before_the_ticket_is_read(self):
+        """Guards against not_run for a resend whose first copy ran elsewhere."""
+        request = QueryArrived(1, "r1", "order", "token-a", b"x", ticket="t")
+        lost_route = TicketNotEntitled("no route")
+        check_refusal(request, lost_route)
+        self.assertIs(lost_route.outcome, Outcome.OUTCOME_UNKNOWN)
+        bad_input = TicketInvalid("no JSON")
+        check_refusal(request, bad_input)
+        self.assertIs(bad_input.outcome, Outcome.NOT_RUN)
+        self.assertIs(TicketNotEntitled("other request").outcome, Outcome.NOT_RUN)
+
+    def test_draining_answer_stops_new_work(self):
+        """Guards against orders sent to a replica that is known to leave."""
+        fleet = self.fleet
+        fleet.ask("a", fleet.ticket("a"))
+        name, sub = fleet.subs.pop()
+        event = SubAnswered(sub.sub_id, sub.request_id, "v1", "s1", [], None, True)
+        fleet.feed(name, event)
+        table = fleet.hosts["a"].state.part(ReplicaTable)
+        self.assertFalse(table.may_use(sub.replica, fleet.now))
+
+    def test_replies_feed_the_error_budgets(self):
+        """Guards against orders that are missing from the burn report."""
+        fleet = self.fleet
+        state = fleet.hosts["a"].state
+        state.attach(ErrorBudgets("a"))
+        objective = Objective("o", "order", 340, 0.99, 0.999, 0.05)
+        state.objects_ = replace(state.objects_, objectives={"o": objective})
+        fleet.ask("a", fleet.ticket("a"), b"1")
+        fleet.answer()
+        fleet.ask("a", fleet.ticket("a"), b"2")
+        fleet.fail(FailureKind.TIMEOUT)
+        fleet.ask("a", "no ticket")
+        row = burn_report(state, fleet.now)["series"][0]["windows"]["300"]
+        self.assertEqual((row["n"], row["n_slow"], row["n_missing"]), (2, 1, 1))
+
 
 class TestForward(unittest.TestCase):
     """Guards requests whose ticket belongs to another host."""
@@ -260,6 +304,10 @@
         fleet.feed("b", TimerFired(f"tickets:retry:{query}"))
         fleet.deliver_all()
         self.assertEqual((fleet.code(query), fleet.ran[b"x"]), (0, 1))
+        # A link opened for a forward does not stay open for ever.
+        fleet.now += 60.0
+        closed = reduce(fleet.hosts["b"].state, Tick(), fleet.now)
+        self.assertEqual([type(e) for e in closed], [CloseLink])
 
     def test_unreachable_issuer_at_the_deadline(self):
         """Guards against not_run when the issuer cannot be reached in time."""
