Bound bodies, copies, replies and upkeep of tickets

Cause: bodies in hand, waiting copies and long answers were not bounded, small records made handover chunks of over 64 KB, and each tick visited all records. Change: bounds with refusals that stay true, chunk sizes by the wire size, and upkeep once a second that looks only at the oldest records. Conclusion: chunks stay below 64 KB through the peer codec in the test.

--- a/jackdawsill/stopping/tests/test_stopping.py
+++ b/jackdawsill/stopping/tests/test_stopping.py
@@ -11,6 +11,7 @@
     reduce,
 )
 from jackdawsill.membership import MemberTable
+from jackdawsill.peers import Decoder, encode
 from jackdawsill.spread import ConfigSpread
 from jackdawsill.stopping import Phase, Stopping, _log_events
 from jackdawsill.tickets._handover import CHUNK_BYTES
@@ -215,6 +216,9 @@
         """Guards against chunks that delay pings, or that drop a record."""
         fleet = self.fleet
         office = fleet.office("a")
+        for _ in range(600):
+            fleet.ask("a", fleet.ticket("a"), b"small")
+            fleet.answer()
         for _ in range(40):
             fleet.ask("a", fleet.ticket("a"), b"big")
             run = next(iter(office.runs_.values()))
@@ -225,10 +229,11 @@
         fleet.stop("a")
         chunks = [m for _, _, m in fleet.messages]
         self.assertGreater(len(chunks), 10)
-        sizes = [sum(len(r.answer) for r in c.records) for c in chunks]
-        self.assertLess(max(sizes), CHUNK_BYTES)
+        self.assertLess(max(len(encode(chunk)) for chunk in chunks), CHUNK_BYTES)
+        copies = list(Decoder().feed(b"".join(encode(chunk) for chunk in chunks)))
+        self.assertEqual(copies, chunks)
         fleet.deliver_all()
-        self.assertEqual(len(fleet.office("b").ledgers_["a"].records_), 41)
+        self.assertEqual(len(fleet.office("b").ledgers_["a"].records_), 641)
         self.assertEqual(fleet.office("b").ledgers_["a"].n_running_, 0)
 
     def test_successor_prefers_another_failure_domain(self):
--- a/jackdawsill/tickets/_forwarding.py
+++ b/jackdawsill/tickets/_forwarding.py
@@ -21,6 +21,8 @@
 # Time between two attempts to reach an issuer; some attempts fit into the default
 # deadline of 340 ms, and a link needs about one round trip of 16 ms to open.
 FORWARD_RETRY_S = 0.025
+# The query component refuses longer deadlines.
+MAX_DEADLINE_S = 30.0
 # A link that is not usable by then is closed, and another one is opened.
 OPEN_TIMEOUT_S = 1.0
 # Every open link is pinged each second; without this limit the hosts of a large fleet
@@ -180,13 +182,16 @@
         if ledger is None or self.closed_:
             reply = TicketReply(message.forward_id, not_issuer=True)
             return [SendPeer(link_id, reply)]
+        # Written so that it also holds for NaN.
+        in_range = message.deadline_s <= MAX_DEADLINE_S
+        deadline_s = message.deadline_s if in_range else MAX_DEADLINE_S
         demand = Demand(
             message.request_id,
             message.route,
             message.caller,
             message.body,
             message.ticket,
-            now + message.deadline_s,
+            now + deadline_s,
         )
         return self._decide(state, ledger, demand, waiter, now)
 
--- a/jackdawsill/tickets/_handover.py
+++ b/jackdawsill/tickets/_handover.py
@@ -21,6 +21,7 @@
 # Peer messages hold at most 1 MB; 64 KB keeps pings on the same link prompt.
 CHUNK_BYTES = 64 * 1024
 HEAD_BYTES = 512  # fields of a chunk besides its spans and records
+ITEM_BYTES = 128  # names and numbers of a span or record on the wire
 MAX_INHERITED_BYTES = 2 * MAX_RECORD_BYTES
 MAX_STAGED_SENDERS = 4
 # At the design size each host gets about one handover a day.
@@ -72,10 +73,10 @@
     free = CHUNK_BYTES - HEAD_BYTES
     for item in [*ledger.spans(), *ledger.copies()]:
         if isinstance(item, SpentSpan):
-            n_bytes = SERIALS_PER_SPAN // 8 + 32
+            n_bytes = SERIALS_PER_SPAN // 8 + ITEM_BYTES
         else:
             # A character takes up to four bytes on the wire.
-            n_bytes = 4 * len(item.message) + len(item.answer) + 64
+            n_bytes = 4 * len(item.message) + len(item.answer) + ITEM_BYTES
         if n_bytes > free:
             yield tuple(spans), tuple(records)
             spans, records = [], []
--- a/jackdawsill/tickets/_issuer.py
+++ b/jackdawsill/tickets/_issuer.py
@@ -32,6 +32,7 @@
 # A replica that did not run a request costs one round trip of the deadline; more
 # attempts than this would not fit into the default deadline.
 MAX_ATTEMPTS = 3
+MAX_WAITERS = 100
 SETTLED_MESSAGE = "the request ran or may have run; its record is no longer kept"
 
 
@@ -66,7 +67,7 @@
                 raise errors.TicketExpired("the ticket expired before its first use")
             if ticket.serial < ledger.void_below_:
                 raise errors.TicketsFull("the ticket is void, ask for another one")
-            if not self._has_room(ledger, ticket.serial):
+            if not self._has_room(ledger, ticket.serial, demand.body):
                 ledger.void_below_ = ledger.next_serial_
                 effects = self._reply(
                     state, waiter, errors.TicketsFull("no memory for tickets"), now
@@ -81,6 +82,7 @@
         mark = fingerprint(demand.route, demand.body)
         run = Run(demand, ticket, ledger, record, mark, [waiter])
         self.runs_[run.key()] = run
+        self.n_body_bytes_ += len(demand.body)
         return [Count("tickets_spent"), *self._send(state, run, now)]
 
     def _resend(
@@ -105,8 +107,12 @@
             return effects + self._reply(state, waiter, exc, now)
         if record.code is None:
             run = self.runs_[(ledger.incarnation, serial)]
-            if waiter not in run.waiters:
-                run.waiters.append(waiter)
+            if waiter in run.waiters:
+                return effects
+            if len(run.waiters) >= MAX_WAITERS:
+                exc = errors.TicketOutcomeUnknown("too many copies wait for this one")
+                return effects + self._reply(state, waiter, exc, now)
+            run.waiters.append(waiter)
             return effects
         return effects + self._reply(state, waiter, record, now)
 
@@ -235,7 +241,8 @@
             run.ledger.settle(run.record, ANSWERED, "", result)
         else:
             run.ledger.settle(run.record, result.code, result.message, b"")
-        self.runs_.pop(run.key(), None)
+        if self.runs_.pop(run.key(), None) is not None:
+            self.n_body_bytes_ -= len(run.demand.body)
         effects: list[Effect] = [
             Count("tickets_settled", 1.0, (("code", str(run.record.code)),))
         ]
--- a/jackdawsill/tickets/_ledger.py
+++ b/jackdawsill/tickets/_ledger.py
@@ -182,10 +182,13 @@
         """Drop what is past expiry and retention."""
         clock_s = self.clock_s(now)
         self.window_.prune(clock_s)
-        old = [s for s, r in self.records_.items() if r.expires_s <= clock_s]
-        for serial in old:
-            if self.records_[serial].code is not None:
-                self._drop(serial)
+        # Records are in the order of their first use, which is that of their expiry
+        # up to the life of a ticket; looking at the oldest keeps this cheap.
+        while self.records_:
+            serial, record = next(iter(self.records_.items()))
+            if record.expires_s > clock_s or record.code is None:
+                return
+            self._drop(serial)
 
     def is_over(self, now: float) -> bool:
         """Tell whether every ticket ever issued is past expiry and retention."""
--- a/jackdawsill/tickets/_office.py
+++ b/jackdawsill/tickets/_office.py
@@ -38,6 +38,11 @@
 KEY_BYTES = 32
 # Waiting calls of this host, each with its body in memory.
 MAX_CALLS = 1000
+MAX_BODY_BYTES_IN_HAND = 8 * 1024 * 1024
+# A forward with its body must fit into one peer message of 1 MB.
+MAX_BODY_BYTES = 900 * 1024
+MAX_REPLY_BYTES = 900 * 1024
+UPKEEP_S = 1.0
 # Replies of the daemon to a sub-request may come this long after its timeout.
 LOST_REPORT_S = 1.0
 
@@ -54,12 +59,14 @@
         "installed_",
         "key",
         "ledgers_",
+        "n_body_bytes_",
         "opening_",
         "paused_at_",
         "runs_",
         "staged_",
         "subs_",
         "successor_",
+        "upkeep_at_",
     )
 
     def __init__(self, key: bytes | None = None) -> None:
@@ -81,6 +88,8 @@
         self.closed_ = False
         self.successor_: str | None = None
         self.handed_over_ = False
+        self.upkeep_at_ = 0.0
+        self.n_body_bytes_ = 0  # of calls and runs in hand
 
     def n_in_hand(self) -> int:
         """Return the number of callers and requests without an outcome."""
@@ -115,10 +124,12 @@
             exc = errors.TicketNeeded("send the request again with this ticket")
             return [Count("tickets_issued"), Refuse(query_id, exc, ticket)]
         try:
+            if len(request.body) > MAX_BODY_BYTES:
+                raise errors.TicketInvalid("the body is too long")
             incarnation = decode_ticket(request.ticket).incarnation
         except JackdawsillError as exc:
             return [Refuse(query_id, exc)]
-        if len(self.calls_) >= MAX_CALLS:
+        if len(self.calls_) >= MAX_CALLS or not self._has_body_room(request.body):
             # Another host may have sent the request already, so this refusal
             # must not claim that it was not run.
             exc = errors.TicketOutcomeUnknown("too many requests are waiting")
@@ -139,6 +150,7 @@
             forward_id=state.next_id(),
         )
         self.calls_[query_id] = call
+        self.n_body_bytes_ += len(call.body)
         self.forwards_[call.forward_id] = query_id
         timer = SetTimer(f"{DEADLINE_TIMER}{query_id}", call.deadline_at)
         return [timer, *self._route_call(state, call, now)]
@@ -153,6 +165,7 @@
         if call is None:
             return []
         del self.forwards_[call.forward_id]
+        self.n_body_bytes_ -= len(call.body)
         return [ClearTimer(f"{DEADLINE_TIMER}{query_id}")]
 
     def on_pause(self, event: PauseDetected, now: float) -> list[Effect]:
@@ -175,6 +188,9 @@
 
     def on_tick(self, state: HostState, now: float) -> list[Effect]:
         """Drop what is past its time, and settle runs without a report."""
+        if now < self.upkeep_at_:
+            return []
+        self.upkeep_at_ = now + UPKEEP_S
         for incarnation, ledger in list(self.ledgers_.items()):
             ledger.prune(now)
             own = incarnation == state.part(MemberTable).self_member.incarnation
@@ -191,10 +207,15 @@
                 effects += self._settle(state, run, exc, now)
         return effects
 
-    def _has_room(self, ledger: Ledger, serial: int) -> bool:
+    def _has_body_room(self, body: bytes) -> bool:
+        """Tell whether another body can be held in memory."""
+        return self.n_body_bytes_ + len(body) <= MAX_BODY_BYTES_IN_HAND
+
+    def _has_room(self, ledger: Ledger, serial: int, body: bytes) -> bool:
         """Tell whether a ticket can be spent within the bounds of memory."""
         n_spans = sum(len(g.window_.spans_) for g in self.ledgers_.values())
-        return n_spans < 2 * MAX_SPANS and ledger.has_room(serial)
+        in_window = n_spans < 2 * MAX_SPANS and ledger.has_room(serial)
+        return in_window and self._has_body_room(body)
 
     def _ledger_of(self, ticket: str) -> Ledger | None:
         """Return the ledger that decides on a ticket, if it is here."""
@@ -211,6 +232,9 @@
         if isinstance(waiter, RemoteWaiter):
             if isinstance(result, JackdawsillError):
                 reply = TicketReply(waiter.forward_id, result.code, result.message)
+            elif len(result.answer) > MAX_REPLY_BYTES:
+                exc = errors.TicketOutcomeUnknown("the answer is too long to forward")
+                reply = TicketReply(waiter.forward_id, exc.code, exc.message)
             else:
                 reply = TicketReply(
                     waiter.forward_id, result.code, result.message, result.answer
--- a/jackdawsill/tickets/tests/test_office.py
+++ b/jackdawsill/tickets/tests/test_office.py
@@ -23,6 +23,7 @@
 from jackdawsill.spread import ConfigSpread
 from jackdawsill.tickets import TicketReply, check_refusal
 from jackdawsill.tickets._errors import TicketInvalid, TicketNotEntitled
+from jackdawsill.tickets._issuer import MAX_WAITERS
 from jackdawsill.tickets._ledger import RETENTION_S, TICKET_TTL_S, Ledger
 from jackdawsill.tickets.tests.fleet import Fleet
 
@@ -201,6 +202,20 @@
         self.assertEqual(len(fleet.subs), 2)
         self.assertLessEqual(office.ledgers_["a"].n_bytes(), 1400)
 
+    def test_bodies_and_copies_in_hand_are_bounded(self):
+        """Guards against memory that grows with what callers send at once."""
+        fleet = self.fleet
+        too_long = fleet.ask("a", fleet.ticket("a"), b"x" * 1024 * 1024)
+        self.assertEqual(fleet.code(too_long), 3002)
+        body, ticket = b"x" * 900 * 1024, fleet.ticket("a")
+        queries = [fleet.ask("a", ticket, body) for _ in range(9)]
+        self.assertEqual([fleet.code(q) for q in queries], [None] * 8 + [3009])
+        fleet.answer()
+        self.assertEqual(fleet.office("a").n_body_bytes_, 0)
+        ticket = fleet.ticket("a")
+        queries = [fleet.ask("a", ticket) for _ in range(MAX_WAITERS + 1)]
+        self.assertEqual(fleet.code(queries[-1]), 3009)
+
     def test_dropped_answer_is_unknown(self):
         """Guards against a second run when the recorded answer was dropped."""
         fleet = self.fleet
@@ -281,6 +296,14 @@
         fleet.messages[:] = [("a", "b", reply)]
         fleet.deliver_all()
         self.assertEqual(fleet.code(query), 3009)
+        # An answer that does not fit into a peer message cannot be forwarded.
+        query = fleet.ask("b", fleet.ticket("a"))
+        fleet.deliver_all()
+        name, sub = fleet.subs.pop()
+        items = [{"class": "proof", "text": "x" * 1024 * 1024}]
+        fleet.feed(name, SubAnswered(sub.sub_id, sub.request_id, "v1", "s1", items))
+        fleet.deliver_all()
+        self.assertEqual(fleet.code(query), 3009)
 
     def test_lost_issuer_is_unknown(self):
         """Guards against not_run when the issuer may have sent the request."""
