Run suspected ticketed requests alone on their replica

Cause: a request suspected of crashing backend servers could take down other requests on the same replica. Change: it is sent to an idle replica, which is reserved until it ends. Conclusion: a test with 20 other requests finds none on the reserved replica.

--- a/jackdawsill/tickets/_issuer.py
+++ b/jackdawsill/tickets/_issuer.py
@@ -141,6 +141,7 @@
         ):
             # Two copies of a poison request must not crash two replicas at once.
             raise errors.TicketQuarantined("the same request is running alone")
+        run.is_canary = verdict is Verdict.SUSPECT
 
     def _send(self, state: HostState, run: Run, now: float) -> list[Effect]:
         """Send to one replica, or record why the request was not run."""
--- a/jackdawsill/tickets/_office.py
+++ b/jackdawsill/tickets/_office.py
@@ -10,6 +10,7 @@
     Count,
     Deliver,
     Effect,
+    FailureKind,
     HostState,
     PauseDetected,
     QueryArrived,
@@ -18,6 +19,7 @@
     Refuse,
     SendPeer,
     SetTimer,
+    SubFailed,
 )
 from jackdawsill.exceptions import JackdawsillError
 from jackdawsill.membership import MemberTable
@@ -28,6 +30,7 @@
 from jackdawsill.tickets._issuer import IssuerMixin
 from jackdawsill.tickets._ledger import ANSWERED, MAX_SPANS, Ledger, Record
 from jackdawsill.tickets._messages import TicketReply
+from jackdawsill.tickets._replicas import learn_failure
 from jackdawsill.tickets._runs import (
     LocalCall,
     RemoteWaiter,
@@ -203,6 +206,8 @@
         for sub_id, run in list(self.subs_.items()):
             if now > run.demand.deadline_at + LOST_REPORT_S:
                 del self.subs_[sub_id]
+                timeout = SubFailed(sub_id, FailureKind.TIMEOUT)
+                effects += learn_failure(state, run, timeout, now)
                 exc = errors.TicketOutcomeUnknown("the send was never reported")
                 effects += self._settle(state, run, exc, now)
         return effects
--- a/jackdawsill/tickets/_replicas.py
+++ b/jackdawsill/tickets/_replicas.py
@@ -46,21 +46,33 @@
         if replica is None:
             return None
         in_flight = routing.state_of(replica.name).in_flight
-        if in_flight < shares.share(replica.name, now):
+        share = shares.share(replica.name, now)
+        if in_flight < (min(share, 1) if run.is_canary else share):
             return replica
         excluded.add(replica.name)
 
 
 def learn_sent(state: HostState, run: Run, now: float) -> int:
     """Count a request in flight; return the connections that may be open."""
-    state.part(ReplicaTable).on_sent(run.replica, now)
+    routing = state.part(ReplicaTable)
+    routing.on_sent(run.replica, now)
+    if run.is_canary:
+        routing.reserve(run.replica)
     return max(state.part(ConnectionShares).share(run.replica, now), 1)
 
 
+def end_canary(state: HostState, run: Run) -> None:
+    """Let other work use the replica of a canary again."""
+    if run.is_canary:
+        run.is_canary = False
+        state.part(ReplicaTable).release(run.replica)
+
+
 def learn_answer(
     state: HostState, run: Run, event: SubAnswered, now: float
 ) -> list[Effect]:
     """Pass an answer to the components that learn from it."""
+    end_canary(state, run)
     routing = state.part(ReplicaTable)
     in_flight = routing.state_of(run.replica).in_flight
     routing.on_answer(run.replica, now - run.sent_at, event.load, now)
@@ -80,6 +92,7 @@
     state: HostState, run: Run, event: SubFailed, now: float
 ) -> list[Effect]:
     """Pass a failure to the components that learn from it."""
+    end_canary(state, run)
     state.part(ReplicaTable).on_failure(run.replica, event.kind, now)
     if event.kind is FailureKind.CAP:
         state.part(ConnectionShares).on_cap_refused(run.replica, now)
--- a/jackdawsill/tickets/_runs.py
+++ b/jackdawsill/tickets/_runs.py
@@ -61,6 +61,7 @@
     shard: str = ""
     snapshot: Snapshot | None = None
     sent_at: float = 0.0
+    is_canary: bool = False  # alone on its replica, after a crash
     tried: set[str] = field(default_factory=set)
 
     def key(self) -> tuple[str, int]:
--- a/jackdawsill/tickets/tests/test_office.py
+++ b/jackdawsill/tickets/tests/test_office.py
@@ -106,6 +106,22 @@
         quarantine = fleet.hosts["a"].state.part(Quarantine)
         self.assertEqual(quarantine.crashes.total(), 2)
 
+    def test_suspect_runs_alone_on_its_replica(self):
+        """Guards against a suspected request that takes others down with it."""
+        fleet = self.fleet
+        fleet.ask("a", fleet.ticket("a"), b"suspect")
+        fleet.fail(FailureKind.CRASH)
+        fleet.ask("a", fleet.ticket("a"), b"suspect")
+        refused = fleet.ask("a", fleet.ticket("a"), b"suspect")
+        self.assertEqual(fleet.code(refused), 3014)
+        for i in range(20):
+            fleet.ask("a", fleet.ticket("a"), b"other %d" % i)
+        used = [sub.replica for _, sub in fleet.subs]
+        self.assertEqual(used.count(used[0]), 1)
+        fleet.answer()
+        table = fleet.hosts["a"].state.part(ReplicaTable)
+        self.assertFalse(table.state_of(used[0]).reserved)
+
     def test_refusal_as_not_run_is_final(self):
         """Guards against a copy that runs after its caller was told not_run."""
         fleet, ticket = self.fleet, self.fleet.ticket("a")
