--- a/jackdawsill/metrics/_registry.py
+++ b/jackdawsill/metrics/_registry.py
@@ -48,6 +48,7 @@
     ("membership_handshakes_refused", "Peers that did not prove themselves.", ()),
     ("membership_lost", "Hosts that were declared lost.", ()),
     ("membership_refutations", "Times this host refuted its own loss.", ()),
+    ("quarantine_condemned", "Fingerprints condemned after crashes.", ()),
     ("queries_partial", "Answers that do not cover all shards.", ("route",)),
     ("queries_refused", "Refused requests.", ("error",)),
     ("queries_restarted", "Queries restarted on another snapshot.", ()),
--- a/jackdawsill/routing/_handlers.py
+++ b/jackdawsill/routing/_handlers.py
@@ -19,8 +19,8 @@
     state: HostState, replica: str, source: str, now: float
 ) -> list[Effect]:
     """Mark a replica as leaving, and tell peers about the first evidence."""
-    table = state.part(ReplicaTable)
-    if not table.mark_leaving(replica, now):
+    table = state.parts_.get(ReplicaTable)
+    if table is None or not table.mark_leaving(replica, now):
         return []
     start_id = f"{state.name}:{state.rng.getrandbits(64):016x}"
     table.remember_notice(start_id, now)
@@ -31,7 +31,7 @@
     ]
 
 
-@handles(PeerMessageRead)
+@handles(PeerMessageRead, needs=ReplicaTable)
 def on_leaving_notice(
     state: HostState, event: PeerMessageRead, now: float
 ) -> list[Effect]:
@@ -45,7 +45,9 @@
         return []
     if state.objects_ is None or notice.replica not in state.objects_.replicas:
         return []
-    table = state.part(ReplicaTable)
+    table = state.parts_.get(ReplicaTable)
+    if table is None:
+        return []
     if not table.on_notice(notice.replica, notice.start_id, notice.ttl_s, now):
         return []
     return [
@@ -54,9 +56,9 @@
     ]
 
 
-@handles(SetAccepted)
+@handles(SetAccepted, needs=ReplicaTable)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Forget replicas that the new set does not contain."""
-    if state.objects_ is not None:
+    if state.objects_ is not None and ReplicaTable in state.parts_:
         state.part(ReplicaTable).prune(state.objects_.replicas)
     return []
--- a/jackdawsill/tickets/_replicas.py
+++ b/jackdawsill/tickets/_replicas.py
@@ -61,20 +61,22 @@
     return max(state.part(ConnectionShares).share(run.replica, now), 1)
 
 
-def end_canary(state: HostState, run: Run) -> None:
-    """Let other work use the replica of a canary again."""
+def learn_ended(state: HostState, run: Run) -> None:
+    """Count the end of a request in flight, and release its replica."""
+    routing = state.part(ReplicaTable)
+    routing.on_ended(run.replica)
     if run.is_canary:
         run.is_canary = False
-        state.part(ReplicaTable).release(run.replica)
+        routing.release(run.replica)
 
 
 def learn_answer(
     state: HostState, run: Run, event: SubAnswered, now: float
 ) -> list[Effect]:
     """Pass an answer to the components that learn from it."""
-    end_canary(state, run)
     routing = state.part(ReplicaTable)
     in_flight = routing.state_of(run.replica).in_flight
+    learn_ended(state, run)
     routing.on_answer(run.replica, now - run.sent_at, event.load, now)
     state.part(ConcurrencyLimits).on_answer(
         run.replica, in_flight, _n_slots(state, run.snapshot), event.load, now
@@ -92,7 +94,7 @@
     state: HostState, run: Run, event: SubFailed, now: float
 ) -> list[Effect]:
     """Pass a failure to the components that learn from it."""
-    end_canary(state, run)
+    learn_ended(state, run)
     state.part(ReplicaTable).on_failure(run.replica, event.kind, now)
     if event.kind is FailureKind.CAP:
         state.part(ConnectionShares).on_cap_refused(run.replica, now)
