Test the loss of either side at each step of a handover

Cause: a crash during a handover must not let a request run twice. Change: a test that delivers 0 to 3 messages of a two-ledger handover and then loses the sender or the successor. Conclusion: the request runs only where the whole handover was installed.

--- a/jackdawsill/stopping/tests/test_stopping.py
+++ b/jackdawsill/stopping/tests/test_stopping.py
@@ -173,6 +173,36 @@
                 fleet.ask("b", self.unused, b"unused")
                 self.assertEqual(len(fleet.subs), n_delivered)
 
+    def test_crash_at_each_step(self):
+        """Guards against a second run when either side dies during a handover."""
+        for n_delivered in range(4):
+            for victim in "bc":
+                with self.subTest(n_delivered=n_delivered, victim=victim):
+                    self.setUp()
+                    fleet = self.fleet
+                    fleet.stop("a")
+                    self.deliver_chunks()
+                    # "b" holds two ledgers now, so it sends two chunks to "c".
+                    fleet.add_host("d")
+                    fleet.hosts["d"].cut = True
+                    fleet.stop("b")
+                    self.assertEqual(len(fleet.messages), 2)
+                    for _ in range(n_delivered):
+                        if fleet.messages:
+                            fleet.deliver()
+                    fleet.hosts[victim].alive = False
+                    fleet.messages.clear()
+                    fleet.hosts["d"].cut = False
+                    for body, ticket in ((b"used", self.used), (b"new", self.unused)):
+                        for name in "dbc" * 2:
+                            fleet.ask(name, ticket, body)
+                            fleet.deliver_all()
+                            while fleet.subs:
+                                fleet.answer()
+                    self.assertLessEqual(max(fleet.ran.values()), 1)
+                    installed = victim == "b" and n_delivered >= 2
+                    self.assertEqual(fleet.ran[b"new"], int(installed))
+
     def test_repeated_and_late_chunks_change_nothing(self):
         """Guards against an old copy of the window that replaces the newer one."""
         fleet = self.fleet
