--- a/jackdawsill/limits/_handlers.py
+++ b/jackdawsill/limits/_handlers.py
@@ -4,13 +4,16 @@
 from jackdawsill.limits._admission import AdmissionQueue
 from jackdawsill.limits._concurrency import ConcurrencyLimits
 from jackdawsill.limits._shares import ConnectionShares
+from jackdawsill.limits._sheds import ShedWatch
 from jackdawsill.membership import MemberTable
 
 
-@handles(Tick)
+@handles(Tick, needs=ConnectionShares)
 def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
     """Follow the view of the fleet; comparing it costs microseconds per tick."""
-    shares = state.part(ConnectionShares)
+    shares = state.parts_.get(ConnectionShares)
+    if shares is None:
+        return []
     members = state.part(MemberTable).live_hosts()
     if len(members) != len(shares.hosts_) or any(
         m.incarnation != known for m, known in zip(members, shares.hosts_, strict=True)
@@ -20,11 +23,12 @@
     return []
 
 
-@handles(SetAccepted)
+@handles(SetAccepted, needs=ConnectionShares)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Take capacities from the new set."""
-    if state.objects_ is not None:
+    if state.objects_ is not None and ConnectionShares in state.parts_:
         state.part(ConnectionShares).set_objects(state.objects_)
         state.part(ConcurrencyLimits).prune(state.objects_.replicas)
+        state.part(ShedWatch).prune(state.objects_.services)
         state.part(AdmissionQueue).set_objects(state.objects_)
     return []
