Look up the parts of the query path once, and keep wire ids

Cause: each sub-request looked up about 20 parts and built its wire id twice. Change: Parts caches the components, replica state is passed on instead of looked up again, and a sub-request keeps its wire id.

--- a/jackdawsill/query/_model.py
+++ b/jackdawsill/query/_model.py
@@ -27,6 +27,7 @@
     replica: str
     sent_at: float
     is_canary: bool
+    wire_id: str
 
 
 @dataclass(slots=True, eq=False)
@@ -56,6 +57,7 @@
     arrived_at: float
     deadline_at: float
     cutoff_at: float  # time at which a partial answer is given
+    n_slots: int = 1  # of each replica of the group
     snapshot: Snapshot | None = None
     tasks: tuple[ShardTask, ...] = ()
     open: dict[str, ShardTask] = field(default_factory=dict)  # undecided shards
--- a/jackdawsill/query/_send.py
+++ b/jackdawsill/query/_send.py
@@ -1,14 +1,13 @@
 """Step 4: send the sub-requests of a query."""
 
 from jackdawsill.core import Effect, HostState, SendSub, SetTimer
-from jackdawsill.hedging import ExtraLoadBudget, HedgePolicy
-from jackdawsill.limits import ConnectionShares
+from jackdawsill.hedging import ExtraLoadBudget
 from jackdawsill.objects import Replica
 from jackdawsill.quarantine import Quarantine, Verdict
 from jackdawsill.query._model import MissingReason, Query, ShardTask, SubRequest
+from jackdawsill.query._parts import parts_of
 from jackdawsill.query._pick import pick
 from jackdawsill.query._table import QueryTable
-from jackdawsill.routing import ReplicaTable
 
 # A hedge timer that is due this much earlier than the one set replaces it.
 TIMER_STEP_S = 0.002
@@ -53,22 +52,22 @@
     is_canary: bool = False,
 ) -> None:
     """Send a sub-request to a replica."""
-    table = state.part(QueryTable)
+    parts = parts_of(state)
     name = replica.name
     sub_id = state.next_id()
-    sub = SubRequest(sub_id, query, task, name, now, is_canary)
-    table.add_sub(sub)
-    state.part(ReplicaTable).on_sent(name, now)
+    wire_id = _wire_id(state, parts.table, query, sub_id)
+    parts.table.add_sub(SubRequest(sub_id, query, task, name, now, is_canary, wire_id))
+    parts.routing.on_sent(name, now)
     task.n_attempts += 1
     task.tried += (name,)
     query.n_sent += 1
-    delay_s = state.part(HedgePolicy).delay_s(task.shard.service, now)
-    task.hedge_at = now + delay_s
-    arm(query, task.hedge_at, out)
+    hedge_at = task.hedge_at = now + parts.policy.delay_s(task.shard.service, now)
+    if hedge_at < query.hedge_timer_at - TIMER_STEP_S:
+        arm(query, hedge_at, out)
     out.append(
         SendSub(
             sub_id,
-            wire_id(state, query, sub_id),
+            wire_id,
             name,
             f"{replica.address}:{replica.port}",
             task.shard.name,
@@ -76,7 +75,7 @@
             query.request.body,
             query.cutoff_at - now,
             True,
-            state.part(ConnectionShares).share(name, now),
+            parts.shares.share(name, now),
         )
     )
 
@@ -88,13 +87,12 @@
         out.append(SetTimer(query.hedge_timer(), at))
 
 
-def wire_id(state: HostState, query: Query, sub_id: int) -> str:
+def _wire_id(state: HostState, table: QueryTable, query: Query, sub_id: int) -> str:
     """Return the request id of a sub-request, unique over hosts and restarts.
 
     A cancel request names only this id, so two hosts that serve the same
     caller's request id must not share it.
     """
-    table = state.part(QueryTable)
     if not table.prefix_:
         table.prefix_ = f"{state.rng.getrandbits(32):08x}"
     return f"{query.request.request_id}.{table.prefix_}.{sub_id}"
--- a/jackdawsill/query/_start.py
+++ b/jackdawsill/query/_start.py
@@ -13,6 +13,8 @@
 def start(state: HostState, query: Query, now: float, out: list[Effect]) -> None:
     """Bind a query and send its sub-requests."""
     query.started_at = now
+    group = state.objects_.groups.get(query.route.group)
+    query.n_slots = 1 if group is None else group.n_slots
     shares = state.part(ConnectionShares)
     if shares.objects_ is not state.objects_:
         shares.set_objects(state.objects_)
--- a/jackdawsill/query/_wait.py
+++ b/jackdawsill/query/_wait.py
@@ -24,13 +24,12 @@
 from jackdawsill.query._cancel import cancel_sub, end_canary
 from jackdawsill.query._log_events import BAD_ANSWER
 from jackdawsill.query._model import Query, ShardTask, SubRequest
-from jackdawsill.query._pick import n_slots
+from jackdawsill.query._parts import parts_of
 from jackdawsill.query._room import use_room
 from jackdawsill.query._send import (
     arm,
     send_shard,
     verdict,
-    wire_id,
 )
 from jackdawsill.query._start import begin
 from jackdawsill.query._table import QueryTable
@@ -53,7 +52,7 @@
             out.append(_discarded("finished"))
         return
     query, task = sub.query, sub.task
-    wrong = _wrong_field(state, sub, event)
+    wrong = _wrong_field(sub, event)
     if wrong:
         out.append(_discarded(wrong))
         out.append(LogEvent(BAD_ANSWER, {"replica": sub.replica, "field": wrong}))
@@ -119,9 +118,9 @@
             _retry(state, query, task, FailureKind.SHED, now, out)
 
 
-def _wrong_field(state: HostState, sub: SubRequest, event: SubAnswered) -> str:
+def _wrong_field(sub: SubRequest, event: SubAnswered) -> str:
     """Return the field in which an answer differs from its sub-request."""
-    if event.request_id != wire_id(state, sub.query, sub.sub_id):
+    if event.request_id != sub.wire_id:
         return "request"
     if event.shard != sub.task.shard.name:
         return "shard"
@@ -136,25 +135,24 @@
 
 def _learn(state: HostState, sub: SubRequest, event: SubAnswered, now: float) -> None:
     """Pass an answer to the components that learn from it."""
+    parts = parts_of(state)
     replica = sub.replica
     service = sub.task.shard.service
-    latency_s = now - sub.sent_at
-    routing = state.part(ReplicaTable)
-    in_flight = routing.state_of(replica).in_flight
+    load = event.load
+    seen = parts.routing.state_of(replica)
+    n_slots = sub.query.n_slots
+    parts.limits.on_answer(replica, seen.in_flight, n_slots, load, now)
+    seen.on_ended()
     # A latency that includes a pause of this process says nothing about the
     # backend server.
-    if sub.sent_at >= state.part(QueryTable).resumed_at_:
-        state.part(HedgePolicy).on_answer(service, latency_s, now)
+    if sub.sent_at >= parts.table.resumed_at_:
+        latency_s = now - sub.sent_at
+        parts.policy.on_answer(service, latency_s, now)
     else:
-        latency_s = routing.state_of(replica).latency_s
-    routing.on_ended(replica)
-    routing.on_answer(replica, latency_s, event.load, now)
-    slots = n_slots(state, sub.query)
-    limits = state.part(ConcurrencyLimits)
-    limits.on_answer(replica, in_flight, slots, event.load, now)
-    state.part(ShedWatch).on_answer(service, now)
-    snapshots = state.part(SnapshotTable)
-    snapshots.on_answered(sub.query.snapshot.name, service, replica)
+        latency_s = seen.latency_s
+    seen.on_answer(latency_s, load, now)
+    parts.sheds.on_answer(service, now)
+    parts.snapshots.on_answered(sub.query.snapshot.name, service, replica)
 
 
 def _learn_failure(
@@ -173,8 +171,7 @@
         state.part(ConnectionShares).on_cap_refused(replica, now)
     elif kind is FailureKind.SHED:
         query.n_shed += 1
-        slots = n_slots(state, query)
-        state.part(ConcurrencyLimits).on_shed(replica, slots, now)
+        state.part(ConcurrencyLimits).on_shed(replica, query.n_slots, now)
         state.part(ShedWatch).on_shed(service, now)
     elif kind is FailureKind.DRAINING:
         out.extend(spread_leaving(state, replica, "draining refusal", now))
--- a/jackdawsill/routing/_replica.py
+++ b/jackdawsill/routing/_replica.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from jackdawsill.core import FailureKind
+from jackdawsill.core import FailureKind, LoadReport
 
 # A leaving replica takes no new work for this time after the last evidence; it
 # covers the longest drain expected before the process has gone.
@@ -85,6 +85,24 @@
             n_running = self.load
         return (n_running + 1) * self.latency_s
 
+    def on_ended(self) -> None:
+        """Count the end of a sub-request in flight."""
+        if self.in_flight > 0:
+            self.in_flight -= 1
+
+    def on_answer(self, latency_s: float, load: LoadReport | None, now: float) -> None:
+        """Learn from an answer; a replica that was ejected returns cold."""
+        self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+        if load is not None:
+            self.load = load.running
+            self.load_at = now
+        self.n_failures = 0
+        if self.ejected_until is not None:
+            self.ejected_until = None
+            self.backoff_s = EJECT_MIN_S
+            self.ramp_from = now
+            self.flagged = True
+
     def eject(self, now: float) -> float:
         """Stop using the replica for its backoff, which is returned."""
         backoff_s = self.backoff_s
--- a/jackdawsill/routing/_table.py
+++ b/jackdawsill/routing/_table.py
@@ -8,7 +8,6 @@
 from jackdawsill.routing._replica import (
     COUNTED_FAILURES,
     EJECT_AT_ONCE,
-    EJECT_MIN_S,
     LATENCY_WEIGHT,
     LEAVING_TTL_S,
     N_FAILURES_TO_EJECT,
@@ -56,11 +55,15 @@
         If all others are ejected, the one whose backoff ends first is used: an
         attempt that may fail is better than a shard that is missing for certain.
         """
-        usable = [
-            r
-            for r in objects.replicas_by_service_.get(service, ())
-            if not r.leaving and r.name not in exclude and self.may_use(r.name, now)
-        ]
+        replicas = self.replicas_
+        usable = []
+        for replica in objects.replicas_by_service_.get(service, ()):
+            name = replica.name
+            if replica.leaving or name in exclude:
+                continue
+            seen = replicas.get(name) or self.state_of(name)
+            if not seen.flagged or seen.may_use(now):
+                usable.append(replica)
         n_usable = len(usable)
         if n_usable == 0:
             return self._pick_ejected(service, exclude, objects, now)
@@ -94,25 +97,13 @@
         It is apart from `on_answer` and `on_failure`, because ticketed requests
         report their outcomes and do not take part in this host's limits.
         """
-        seen = self.replicas_.get(replica)
-        if seen is not None and seen.in_flight > 0:
-            seen.in_flight -= 1
+        self.state_of(replica).on_ended()
 
     def on_answer(
         self, replica: str, latency_s: float, load: LoadReport | None, now: float
     ) -> None:
         """Record an answer; a replica that was ejected returns cold."""
-        seen = self.state_of(replica)
-        seen.latency_s += LATENCY_WEIGHT * (latency_s - seen.latency_s)
-        if load is not None:
-            seen.load = load.running
-            seen.load_at = now
-        seen.n_failures = 0
-        if seen.ejected_until is not None:
-            seen.ejected_until = None
-            seen.backoff_s = EJECT_MIN_S
-            seen.ramp_from = now
-            seen.flagged = True
+        self.state_of(replica).on_answer(latency_s, load, now)
 
     def on_cancelled(self, replica: str, elapsed_s: float, now: float) -> None:
         """Record a cancelled sub-request, which took at least `elapsed_s`."""
