Adjust connection shares by the hosts that changed

Cause: ranking all hosts for all replicas anew after each change of the fleet costs the square of the fleet. Change: each share keeps this host's rank and adjusts it by one hash per host that came or went.

--- a/jackdawsill/limits/_shares.py
+++ b/jackdawsill/limits/_shares.py
@@ -20,10 +20,18 @@
     full: int
     current: int
     recover_at: float = 0.0
+    # Number of hosts before this one in rendezvous order; None while all hosts
+    # hold connections.
+    rank: int | None = None
 
 
 class ConnectionShares:
-    """Divide connection caps among the known hosts without shared state."""
+    """Divide connection caps among the known hosts without shared state.
+
+    A change of the fleet adjusts the rank for each replica by one hash per host
+    that came or went, because ranking all hosts anew for all replicas would cost
+    the square of the fleet.
+    """
 
     __slots__ = ("hosts_", "objects_", "self_id", "shares_")
 
@@ -35,16 +43,19 @@
 
     def set_hosts(self, hosts: Sequence[str]) -> None:
         """Use a new view of the fleet, given as incarnations."""
-        hosts = tuple(hosts)
-        is_same = set(hosts) == set(self.hosts_)
-        self.hosts_ = hosts
-        if not is_same:
-            self._recompute()
+        before = frozenset(self.hosts_)
+        self.hosts_ = tuple(hosts)
+        after = frozenset(self.hosts_)
+        if before != after:
+            for replica, share in self.shares_.items():
+                self._adjust(replica, share, after - before, before - after)
 
     def set_objects(self, objects: ObjectSet) -> None:
         """Use a new object set."""
         self.objects_ = objects
-        self._recompute()
+        self.shares_ = {r: s for r, s in self.shares_.items() if r in objects.replicas}
+        for replica, share in self.shares_.items():
+            self._adjust(replica, share, frozenset(), frozenset())
 
     def share(self, replica: str, now: float) -> int:
         """Return how many connections to a replica this host may have open.
@@ -53,8 +64,8 @@
         """
         share = self.shares_.get(replica)
         if share is None:
-            full = self._full(replica)
-            share = self.shares_[replica] = _Share(full, full)
+            share = self.shares_[replica] = _Share(0, 0)
+            self._adjust(replica, share, frozenset(), frozenset())
         if share.current < share.full and now >= share.recover_at:
             share.current += 1
             share.recover_at = now + SHARE_RECOVERY_S
@@ -64,45 +75,50 @@
         """Halve the share after a refusal at the cap, and return it."""
         current = self.share(replica, now)
         share = self.shares_[replica]
-        share.current = max(1, current // 2)
+        share.current = min(share.full, max(1, current // 2))
         share.recover_at = now + SHARE_RECOVERY_S
         return share.current
 
     def holders(self, replica: str) -> tuple[str, ...]:
         """Return the hosts that may open connections to a replica, in rank order."""
-        n_usable = int(HEADROOM * self._cap(replica))
+        n_usable = self._n_usable(replica)
         if n_usable >= len(self.hosts_):
             return self.hosts_
-        ranked = sorted(
-            self.hosts_,
-            key=lambda host: xxhash.xxh3_64_intdigest(f"{replica}\x00{host}".encode()),
-        )
+        ranked = sorted(self.hosts_, key=lambda host: _score(replica, host))
         return tuple(ranked[:n_usable])
 
-    def _cap(self, replica: str) -> int:
+    def _n_usable(self, replica: str) -> int:
+        """Return how many connections all hosts may open together."""
         known = self.objects_.replicas.get(replica) if self.objects_ else None
         if known is None:
             return 1
         service = self.objects_.services[known.service]
-        return self.objects_.groups[service.group].max_connections
-
-    def _full(self, replica: str) -> int:
-        n_each = int(HEADROOM * self._cap(replica)) // max(1, len(self.hosts_))
-        if n_each >= 1:
-            return n_each
-        return int(self.self_id in self.holders(replica))
-
-    def _recompute(self) -> None:
-        """Drop computed shares; reduced ones are kept below the new share.
-
-        Only replicas in use are kept, and `share` computes the others on demand.
-        """
-        kept: dict[str, _Share] = {}
-        for replica, share in self.shares_.items():
-            if share.current >= share.full:
-                continue
-            if self.objects_ and replica in self.objects_.replicas:
-                full = self._full(replica)
-                current = min(share.current, full)
-                kept[replica] = _Share(full, current, share.recover_at)
-        self.shares_ = kept
+        return int(HEADROOM * self.objects_.groups[service.group].max_connections)
+
+    def _adjust(
+        self,
+        replica: str,
+        share: _Share,
+        added: frozenset[str],
+        removed: frozenset[str],
+    ) -> None:
+        """Recompute a share; one that is reduced stays reduced."""
+        n_usable = self._n_usable(replica)
+        was_full = share.current >= share.full
+        share.full = n_usable // max(1, len(self.hosts_))
+        if share.full >= 1:
+            share.rank = None
+        else:
+            own = _score(replica, self.self_id)
+            if share.rank is None:
+                share.rank = sum(_score(replica, host) < own for host in self.hosts_)
+            else:
+                share.rank += sum(_score(replica, host) < own for host in added)
+                share.rank -= sum(_score(replica, host) < own for host in removed)
+            share.full = int(share.rank < n_usable)
+        share.current = share.full if was_full else min(share.current, share.full)
+
+
+def _score(replica: str, host: str) -> int:
+    """Return the rendezvous hash of a replica and a host."""
+    return xxhash.xxh3_64_intdigest(f"{replica}\x00{host}".encode())
