--- a/jackdawsill/query/_handlers.py
+++ b/jackdawsill/query/_handlers.py
@@ -27,32 +27,25 @@
 TIMER_PREFIX = "query:"
 
 
-def _table(state: HostState) -> QueryTable | None:
-    """Return the query table, if this host has one."""
-    return state.parts_.get(QueryTable)
-
-
 @register_in_hand("query")
 def queries_in_hand(state: HostState) -> InHand:
     """Report the queries without a reply."""
-    table = _table(state)
+    table = state.parts_.get(QueryTable)
     if table is None:
         return InHand(0)
     deadlines = (query.deadline_at for query in table.queries_.values())
     return InHand(len(table.queries_), max(deadlines, default=None))
 
 
-@handles(QueryArrived)
+@handles(QueryArrived, needs=QueryTable)
 def on_query_arrived(state: HostState, event: QueryArrived, now: float) -> list[Effect]:
     """Check a request, then start, queue or refuse it."""
     out: list[Effect] = []
-    if _table(state) is None:
-        return out
     admit(state, event, now, out)
     return out
 
 
-@handles(QueryStarted)
+@handles(QueryStarted, needs=QueryTable)
 def on_query_started(state: HostState, event: QueryStarted, now: float) -> list[Effect]:
     """Bind a query and send its sub-requests."""
     out: list[Effect] = []
@@ -62,7 +55,7 @@
     return _finish_done(state, now, out)
 
 
-@handles(QueryExpired)
+@handles(QueryExpired, needs=QueryTable)
 def on_query_expired(state: HostState, event: QueryExpired, now: float) -> list[Effect]:
     """Refuse a query that can no longer finish; nothing of it was sent."""
     out: list[Effect] = []
@@ -72,43 +65,37 @@
     return _finish_done(state, now, out)
 
 
-@handles(SubAnswered)
+@handles(SubAnswered, needs=QueryTable)
 def on_sub_answered(state: HostState, event: SubAnswered, now: float) -> list[Effect]:
     """Take an answer of a backend server."""
     out: list[Effect] = []
-    if _table(state) is None:
-        return out
     on_answered(state, event, now, out)
     return _finish_done(state, now, out)
 
 
-@handles(SubFailed)
+@handles(SubFailed, needs=QueryTable)
 def on_sub_failed(state: HostState, event: SubFailed, now: float) -> list[Effect]:
     """Take a failure of a sub-request."""
     out: list[Effect] = []
-    if _table(state) is None:
-        return out
     on_failed(state, event, now, out)
     return _finish_done(state, now, out)
 
 
-@handles(CallerLeft)
+@handles(CallerLeft, needs=QueryTable)
 def on_caller_left(state: HostState, event: CallerLeft, now: float) -> list[Effect]:
     """Cancel everything of a query whose caller is gone."""
     out: list[Effect] = []
-    table = _table(state)
-    if table is None:
-        return out
+    table = state.parts_.get(QueryTable)
     query = table.queries_.get(event.query_id)
     if query is not None:
         forget(state, query, now, out, is_abandoned=True)
     return _finish_done(state, now, out)
 
 
-@handles(TimerFired)
+@handles(TimerFired, needs=QueryTable)
 def on_timer_fired(state: HostState, event: TimerFired, now: float) -> list[Effect]:
     """End a query, send hedges or start a queued query."""
-    if not event.timer_id.startswith(TIMER_PREFIX) or _table(state) is None:
+    if not event.timer_id.startswith(TIMER_PREFIX):
         return []
     out: list[Effect] = []
     _, kind, name = event.timer_id.split(":", 2)
@@ -125,13 +112,11 @@
     return _finish_done(state, now, out)
 
 
-@handles(Tick)
+@handles(Tick, needs=QueryTable)
 def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
     """Look again at shards that wait; costs nothing when none does."""
-    table = _table(state)
+    table = state.part(QueryTable)
     out: list[Effect] = []
-    if table is None:
-        return out
     if table.shed_:
         release_shed(state, now, out)
     for service in tuple(table.waiting_):
@@ -142,13 +127,11 @@
     return _finish_done(state, now, out)
 
 
-@handles(PauseDetected)
+@handles(PauseDetected, needs=QueryTable)
 def on_pause(state: HostState, event: PauseDetected, now: float) -> list[Effect]:
     """Drop work that is past its deadline before anything else is sent."""
-    table = _table(state)
+    table = state.part(QueryTable)
     out: list[Effect] = []
-    if table is None:
-        return out
     table.resumed_at_ = now
     late = [q for q in table.queries_.values() if now >= q.cutoff_at]
     # Queued queries are refused first, so that none of them is started by the
