Back off from sources of damaged sets and tighten tests

Change: only silence is retried after a constant second; tests cover the side in the keyed hash, replacement at an address, contested records and lost hosts that the list does not name. Conclusion: tests depend on the decisions that they guard.

--- a/jackdawsill/membership/tests/network.py
+++ b/jackdawsill/membership/tests/network.py
@@ -42,7 +42,7 @@
         self.sides: dict[str, int] = {}  # address -> side of a partition
         self.on_read: Callable[[Node, Any], Any] = lambda node, effect: None
         self.on_send: Callable[[Node, Any], None] = lambda node, message: None
-        self.reduce = reduce
+        self.reduce, self.listed = reduce, True
         self.extra_entries: list[HostEntry] = []  # on the platform list
 
     def add(self, address: str, domain: str, *parts: Any) -> Node:
@@ -114,7 +114,7 @@
             case core.SendPeer(link_id, message):
                 self.send(node, link_id, message, delay_s)
             case core.ReadHostList():
-                live = [node.member for node in self.live()]
+                live = [n.member for n in self.live() if self.listed]
                 listed = [HostEntry(m.name, m.address, m.failure_domain) for m in live]
                 read = core.HostListRead((*listed, *self.extra_entries))
                 self.post(self.now + delay_s, node, read)
--- a/jackdawsill/membership/tests/test_membership.py
+++ b/jackdawsill/membership/tests/test_membership.py
@@ -15,6 +15,7 @@
     reduce,
 )
 from jackdawsill.membership import (
+    DigestDetail,
     DigestReply,
     EvidenceItem,
     Hello,
@@ -26,7 +27,9 @@
     Tombstone,
     choose_across_domains,
 )
+from jackdawsill.membership._exchange import on_digest_detail
 from jackdawsill.membership._handlers import lets_pass
+from jackdawsill.membership._links import Link, LinkState, authenticator
 from jackdawsill.membership._tombstones import TOMBSTONE_S
 from jackdawsill.membership._upkeep import FULL_MESH_MAX
 from jackdawsill.membership.tests.network import FakeNetwork, Node
@@ -116,6 +119,8 @@
         proof = self.read(2, hello)[0].message
         self.read(2, proof)
         self.assertTrue(self.table.is_lost("b"))
+        sides = {authenticator(b"key", side, own, b"n", "a") for side in (True, False)}
+        self.assertEqual(len(sides), 2)
 
     def test_messages_before_the_proof_reach_no_component(self):
         """Guards against unauthenticated notices."""
@@ -198,6 +203,21 @@
         self.table.apply(record("b", refutation=1), 2.0)
         self.assertFalse(self.table.is_lost("b"))
 
+    def test_handshake_ends_the_earlier_process_at_an_address(self):
+        """Guards against two members at one address until evidence removes one."""
+        self.table.on_handshake(Member("b2", "b", "b:1", "d"), 0, 1.0)
+        self.assertTrue(self.table.is_lost("b"))
+        self.assertFalse(self.table.is_lost("b2"))
+
+    def test_peer_that_holds_a_gone_host_live_is_told(self):
+        """Guards against digests that differ for ever."""
+        self.table.declare_gone("b", 0.0)
+        bucket = self.table.entries_["b"].bucket
+        link = Link(1, "c:1", True, LinkState.OPEN, 0.0, peer="c")
+        detail = DigestDetail((bucket,), {"b": 0})
+        [effect] = on_digest_detail(self.table, link, detail, 1.0)
+        self.assertEqual(effect.message.records[0].state, MemberState.GONE)
+
     def test_evidence_about_this_host_is_refuted(self):
         """Guards against a live host that accepts its own loss."""
         self.table.on_evidence(EvidenceItem("a", 4, "c"), 0.0)
@@ -271,6 +291,7 @@
         """Guards against sides that never meet again, or lose live hosts on meeting."""
         for seed, n_cut in ((4, 9), (5, 1)):
             network = start(seed, 18)
+            network.listed = False
             cut = [f"h{i}" for i in range(n_cut)]
             network.sides = dict.fromkeys(cut, 1)
 
--- a/jackdawsill/spread/_spread.py
+++ b/jackdawsill/spread/_spread.py
@@ -22,7 +22,7 @@
 LoadBundle = Callable[[bytes, Mapping[str, bytes]], "ObjectSet"]
 
 BLAME_MIN_S = 1.0
-BLAME_MAX_S = 60.0
+BLAME_MAX_S = 16.0
 MANIFEST_DOUBTS = 3
 # Between two attempts, so that many sources of one bad set cause no tight loop.
 ATTEMPT_GAP_S = 0.2
@@ -223,7 +223,7 @@
         if pull is not None and pull.late(now):
             # Another source goes on with the piece; its hash covers both.
             piece = bytes(pull.buffer_)
-            effects += self._blame(pull, "no answer in time", now)
+            effects += self._blame(pull, "no answer in time", now, silent=True)
             pull.buffer_ += piece
             pull.not_before_ = now
         # A source that cannot give what it offers does not hold up lower offers.
@@ -278,7 +278,7 @@
             pull.take_manifest_part(part.offset, part.size, part.data)
         except (InvalidManifest, SetNotAcceptable) as exc:
             return self._blame(pull, str(exc), now)
-        return self._next(pull, source, rng, now)
+        return self._next(pull, rng, now)
 
     def on_value_part(
         self, source: int, part: ValueChunk, rng: random.Random, now: float
@@ -295,7 +295,7 @@
             pull.take_value_part(part.offset, part.size, part.data)
         except SetNotAcceptable as exc:
             return self._doubt(pull, str(exc), now)
-        return self._next(pull, source, rng, now)
+        return self._next(pull, rng, now)
 
     def on_service_value(
         self, key: str, value: bytes | None, rng: random.Random, now: float
@@ -310,7 +310,7 @@
             pull.take_whole_value(value)
         except SetNotAcceptable as exc:
             return self._doubt(pull, str(exc), now)
-        return self._next(pull, SERVICE, rng, now)
+        return self._next(pull, rng, now)
 
     def on_service_failed(self, key: str, detail: str, now: float) -> list[Effect]:
         """Take in that a read of the configuration service failed."""
@@ -319,12 +319,9 @@
             return []
         if key != pull.missing_[0].key:
             return []
-        return self._blame(pull, detail or "read failed", now)
+        return self._blame(pull, detail or "read failed", now, silent=True)
 
-    def _next(
-        self, pull: Pull, source: int, rng: random.Random, now: float
-    ) -> list[Effect]:
-        self.blamed_.pop((source, pull.generation, pull.digest), None)
+    def _next(self, pull: Pull, rng: random.Random, now: float) -> list[Effect]:
         return self._finish(pull, now) if pull.complete() else self.step(rng, now)
 
     def _doubt(self, pull: Pull, reason: str, now: float) -> list[Effect]:
@@ -337,12 +334,16 @@
         pull.drop_manifest()
         return effects + self._blame(pull, "its manifest names unknown values", now)
 
-    def _blame(self, pull: Pull, reason: str, now: float) -> list[Effect]:
+    def _blame(
+        self, pull: Pull, reason: str, now: float, silent: bool = False
+    ) -> list[Effect]:
         source = pull.source_
         assert source is not None
         key = (source, pull.generation, pull.digest)
         blame = self.blamed_.get(key)
-        wait_s = BLAME_MIN_S if blame is None else min(blame.wait_s * 2, BLAME_MAX_S)
+        # A source without an answer may be back at once; damaged content stays.
+        first = blame is None or silent
+        wait_s = BLAME_MIN_S if first else min(blame.wait_s * 2, BLAME_MAX_S)
         self.blamed_[key] = Blame(now + wait_s, wait_s)
         pull.drop_source()
         pull.not_before_ = now + ATTEMPT_GAP_S
--- a/jackdawsill/spread/tests/test_spread.py
+++ b/jackdawsill/spread/tests/test_spread.py
@@ -171,7 +171,7 @@
             for i in range(1, 101):
                 source.carry_out(self.spread.step(RNG, i * 0.1), i * 0.1)
             self.assertEqual(self.spread.generation_, 0)
-            self.assertLess(source.n_requests, 30)
+            self.assertLess(source.n_requests, 20)
             good = self.source(2, manifest, values)
             for i in range(101, 201):
                 for effect in [*good.offer(i * 0.1)]:
