--- a/jackdawsill/core/__init__.py
+++ b/jackdawsill/core/__init__.py
@@ -55,12 +55,25 @@
     reduce,
 )
 from jackdawsill.core._state import HostState
+from jackdawsill.core._views import (
+    EXPLAINS,
+    REPORTS,
+    STATUS_SECTIONS,
+    explain,
+    explains,
+    report,
+    status,
+    status_section,
+)
 
 __all__ = [
+    "EXPLAINS",
     "GATES",
     "HANDLERS",
     "NOT_RUN_KINDS",
     "PAUSE_LIMIT_S",
+    "REPORTS",
+    "STATUS_SECTIONS",
     "TICK_S",
     "Answer",
     "CallerLeft",
@@ -103,7 +116,12 @@
     "SubFailed",
     "Tick",
     "TimerFired",
+    "explain",
+    "explains",
     "gates",
     "handles",
     "reduce",
+    "report",
+    "status",
+    "status_section",
 ]
