--- a/jackdawsill/core/_reducer.py
+++ b/jackdawsill/core/_reducer.py
@@ -28,8 +28,8 @@
 ) -> Callable[[Handler], Handler]:
     """Return a decorator that registers a handler of `event_type`.
 
-    The handler is skipped on hosts without a component of the class `needs`, so
-    that components can be embedded alone.
+    The handler is skipped on hosts whose component of the class `needs` is absent
+    or replaced by another class, so that components can be embedded alone.
     """
 
     def decorate(handler: Handler) -> Handler:
@@ -70,7 +70,8 @@
         if not all(gate(state, current, now) for gate in GATES.get(type(current), ())):
             continue
         for handler in HANDLERS.get(type(current), ()):
-            if handler in NEEDS and NEEDS[handler] not in state.parts_:
+            needs = NEEDS.get(handler)
+            if needs is not None and not isinstance(state.parts_.get(needs), needs):
                 continue
             for effect in handler(state, current, now):
                 if isinstance(effect, Raise):
--- a/jackdawsill/spread/_handlers.py
+++ b/jackdawsill/spread/_handlers.py
@@ -78,7 +78,7 @@
     return effects
 
 
-@handles(Tick)
+@handles(Tick, needs=ConfigSpread)
 def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
     """Read the service, retry the pull and check whether the host has joined."""
     spread = _active_spread(state)
@@ -96,7 +96,7 @@
     return _publish(state, spread, effects)
 
 
-@handles(PauseDetected)
+@handles(PauseDetected, needs=ConfigSpread)
 def on_pause(state: HostState, event: PauseDetected, now: float) -> list[Effect]:
     """Mark the generation unconfirmed."""
     spread = _active_spread(state)
@@ -105,7 +105,7 @@
     return []
 
 
-@handles(HostListRead)
+@handles(HostListRead, needs=ConfigSpread)
 def on_host_list(state: HostState, event: HostListRead, now: float) -> list[Effect]:
     """Take in the failure domains in which peers can be expected."""
     spread, table = _active_spread(state), state.parts_.get(MemberTable)
@@ -116,7 +116,7 @@
     return []
 
 
-@handles(ConfigRead)
+@handles(ConfigRead, needs=ConfigSpread)
 def on_config_read(state: HostState, event: ConfigRead, now: float) -> list[Effect]:
     """Take in the manifest or a value."""
     spread = _active_spread(state)
@@ -129,7 +129,7 @@
     return _publish(state, spread, effects)
 
 
-@handles(ConfigReadFailed)
+@handles(ConfigReadFailed, needs=ConfigSpread)
 def on_config_failed(
     state: HostState, event: ConfigReadFailed, now: float
 ) -> list[Effect]:
@@ -142,7 +142,7 @@
     return spread.on_service_failed(event.key, event.detail, now)
 
 
-@handles(PeerDown)
+@handles(PeerDown, needs=ConfigSpread)
 def on_peer_down(state: HostState, event: PeerDown, now: float) -> list[Effect]:
     """Forget what a closed link offered."""
     spread = _active_spread(state)
@@ -151,7 +151,7 @@
     return _publish(state, spread, spread.drop_source(event.link_id, state.rng, now))
 
 
-@handles(PeerMessageRead)
+@handles(PeerMessageRead, needs=ConfigSpread)
 def on_peer_message(
     state: HostState, event: PeerMessageRead, now: float
 ) -> list[Effect]:
--- a/jackdawsill/tickets/_errors.py
+++ b/jackdawsill/tickets/_errors.py
@@ -82,8 +82,8 @@
 def check_refusal(request: QueryArrived, exc: JackdawsillError) -> None:
     """Correct the outcome of a refusal that was made before the ticket was read.
 
-    The same ticket may have run through another host. Only bad input, which every
-    host refuses, was certainly not run.
+    The same ticket may have run through another host. That holds for bad input
+    too, since a resend may differ from the request that ran in a bad header.
     """
-    if request.ticket is not None and exc.status != 400:
+    if request.ticket is not None:
         exc.outcome = Outcome.OUTCOME_UNKNOWN
