Clear suspicion fully by a canary and send news only to links without it

Cause: queries report only the success of canaries, so the grace time after a success could condemn a query whose siblings were still in flight; a flood of evidence went back to the neighbours that had sent it. Change: a success ends the history of a fingerprint; the outbox of membership knows which links have an item.

--- a/jackdawsill/membership/_exchange.py
+++ b/jackdawsill/membership/_exchange.py
@@ -155,7 +155,7 @@
     for record in message.records:
         if record.state == MemberState.LOST:
             continue  # each host concludes a loss from evidence on its own
-        if table.apply(record, now) == Applied.CONTESTED:
+        if table.apply(record, now, link.link_id) == Applied.CONTESTED:
             effects += contest(table, link, record.incarnation)
     return effects
 
@@ -176,7 +176,7 @@
     missed = [
         table.record_of(item.suspect)
         for item in message.items
-        if table.on_evidence(item, now)
+        if table.on_evidence(item, now, link.link_id)
     ]
     return send_records(link, missed)
 
--- a/jackdawsill/membership/_table.py
+++ b/jackdawsill/membership/_table.py
@@ -1,6 +1,5 @@
 """Table of the hosts that this host knows."""
 
-from collections import deque
 from collections.abc import Iterable
 from typing import Any
 
@@ -20,6 +19,7 @@
     Tombstone,
 )
 from jackdawsill.membership._model import Advert, Applied, Entry, Member, MemberState
+from jackdawsill.membership._outbox import Outbox
 from jackdawsill.membership._tombstones import TOMBSTONE_S, Tombstones
 
 LOST_RETENTION_S = 3600.0
@@ -99,8 +99,8 @@
         self.evidence_ = EvidenceBook()
         self.tombstones_ = Tombstones()
         self.net_ = LinkBook()
-        self.outbox_records_: deque[MemberRecord] = deque()
-        self.outbox_evidence_: deque[EvidenceItem] = deque()
+        self.outbox_records_: Outbox[MemberRecord] = Outbox()
+        self.outbox_evidence_: Outbox[EvidenceItem] = Outbox()
         self.notes_: list[Effect] = []
         self._add(self_member, 0, 0.0)
 
@@ -160,8 +160,11 @@
             int(entry.state),
         )
 
-    def apply(self, record: MemberRecord, now: float) -> Applied:
-        """Take in a record of a live or gone member and queue it for the links."""
+    def apply(self, record: MemberRecord, now: float, source: int = 0) -> Applied:
+        """Take in a record of a live or gone member and queue it for the links.
+
+        `source` is the link that it came from, or 0.
+        """
         entry = self.entries_.get(record.incarnation)
         alive = record.state == MemberState.ALIVE
         if entry is None:
@@ -171,6 +174,7 @@
             self._add(member, record.refutation, now)
             self._note(log.MEMBER_JOINED, member)
         elif (record.refutation, record.state) <= (entry.refutation, entry.state):
+            self.outbox_records_.mark(record, source)
             contested = alive and entry.state != MemberState.ALIVE
             return Applied.CONTESTED if contested else Applied.OLD
         elif entry.member is self.self_member:
@@ -184,7 +188,7 @@
                 self._note(log.MEMBER_BACK, entry.member)
             elif not alive:
                 self._note(log.MEMBER_GONE, entry.member)
-        self.outbox_records_.append(self.record_of(record.incarnation))
+        self.outbox_records_.put(self.record_of(record.incarnation), source)
         return Applied.CHANGED
 
     def raise_refutation(self, incarnation: str, refutation: int, now: float) -> None:
@@ -221,7 +225,7 @@
         if entry.state != MemberState.GONE:
             self._change(entry, entry.refutation, MemberState.GONE, now)
             self._note(log.MEMBER_GONE, entry.member)
-            self.outbox_records_.append(self.record_of(incarnation))
+            self.outbox_records_.put(self.record_of(incarnation), 0)
 
     def refute(self, refutation: int) -> None:
         """Answer evidence about this host with a higher count."""
@@ -252,11 +256,10 @@
         self.evidence_.add(incarnation, own, now)
         # Two other reports are enough for everyone; a third is not sent.
         if self.evidence_.is_reporter(incarnation, own):
-            self.outbox_evidence_.append(
-                EvidenceItem(incarnation, entry.refutation, own)
-            )
+            item = EvidenceItem(incarnation, entry.refutation, own)
+            self.outbox_evidence_.put(item, 0)
 
-    def on_evidence(self, item: EvidenceItem, now: float) -> bool:
+    def on_evidence(self, item: EvidenceItem, now: float, source: int = 0) -> bool:
         """Take in a report; tell whether the sender missed a refutation."""
         if item.suspect == self.self_member.incarnation:
             self.refute(item.refutation)
@@ -272,7 +275,9 @@
         if entry.state == MemberState.ALIVE and self.evidence_.add(
             item.suspect, item.reporter, now
         ):
-            self.outbox_evidence_.append(item)
+            self.outbox_evidence_.put(item, source)
+        else:
+            self.outbox_evidence_.mark(item, source)
         return False
 
     def conclude(self, heard: set[str], now: float) -> list[str]:
--- a/jackdawsill/membership/_upkeep.py
+++ b/jackdawsill/membership/_upkeep.py
@@ -29,9 +29,6 @@
 HOST_LIST_S = 20.0
 JOIN_HOST_LIST_S = 1.0
 RETENTION_CHECK_S = 5.0
-# A dead host is told by many reporters at once and a lost region by hundreds;
-# the bound keeps such a burst under 100 KB/s on 12 links.
-MAX_ITEMS_PER_TICK = 24
 # Without a link for this time a host goes on alone after a pause.
 UNREACHED_S = 3.0
 
@@ -86,7 +83,9 @@
         heard = table.net_.heard(now)
         table.conclude(heard, now)
         self._confirm(table, heard, now)
-        effects += self._flush(table)
+        links = table.links_.values()
+        effects += table.outbox_records_.flush(links, MemberChange)
+        effects += table.outbox_evidence_.flush(links, Evidence)
         if not table.leaving_:
             effects += self._dial_targets(table, next_id, now)
             effects += self._exchange(table, rng, next_id, now)
@@ -129,19 +128,6 @@
         elif now - self.reached_at_ >= UNREACHED_S:
             table.confirmed_ = True
 
-    def _flush(self, table: MemberTable) -> list[Effect]:
-        records, items = table.outbox_records_, table.outbox_evidence_
-        effects: list[Effect] = []
-        if records:
-            n_sent = min(len(records), MAX_ITEMS_PER_TICK)
-            batch = tuple(records.popleft() for _ in range(n_sent))
-            effects += table.broadcast(MemberChange(batch))
-        if items:
-            n_sent = min(len(items), MAX_ITEMS_PER_TICK)
-            reports = tuple(items.popleft() for _ in range(n_sent))
-            effects += table.broadcast(Evidence(reports))
-        return effects
-
     def _dial_targets(
         self, table: MemberTable, next_id: Callable[[], int], now: float
     ) -> list[Effect]:
--- a/jackdawsill/quarantine/_quarantine.py
+++ b/jackdawsill/quarantine/_quarantine.py
@@ -19,9 +19,6 @@
 # Crashes in one failure domain within this time may have one cause, such as the
 # loss of a rack, and count as one piece of evidence.
 SAME_CAUSE_S = 10.0
-# Sub-requests that were in flight at the crash may still succeed; they show nothing
-# about the shard that crashed, so a canary sent meanwhile keeps its weight.
-CLEARED_GRACE_S = 1.0
 MAX_CRASHES = 4  # kept for one fingerprint
 # Suspicions with other fingerprints in flight are numerous and weak. They have a
 # table of their own, so that a flood of them cannot push out the strong ones.
@@ -75,7 +72,7 @@
         """
         if now - self.changed_at >= SUSPECT_S:
             return True
-        return self.cleared_at is not None and at - self.cleared_at >= CLEARED_GRACE_S
+        return self.cleared_at is not None and at > self.cleared_at
 
     def add(self, crash: Crash) -> bool:
         """Record a crash; tell whether it is new evidence."""
@@ -179,9 +176,8 @@
         alone = len(names) == 1
         condemned = []
         for name in names:
-            was_canary = alone and (
-                self._canary_expected(name, now) if canary is None else canary
-            )
+            suspect = self.check(name, now) == Verdict.SUSPECT
+            was_canary = alone and (suspect if canary is None else canary)
             domain = self.domains_.get(replica, replica)
             crash = Crash(replica, domain, now, alone, was_canary)
             if self._record(name, crash, now):
@@ -189,7 +185,10 @@
         return tuple(condemned)
 
     def on_success(self, fingerprint: str, now: float, canary: bool = True) -> None:
-        """Record an answer; that of a canary clears the fingerprint."""
+        """Record an answer; that of a canary clears the fingerprint.
+
+        Other sub-requests show nothing: they may have been in flight at the crash.
+        """
         suspicion = self._suspicion(fingerprint)
         if canary and suspicion is not None and suspicion.cleared_at is None:
             suspicion.cleared_at = now
@@ -256,10 +255,6 @@
     def _suspicion(self, name: str) -> Suspicion | None:
         return self.strong_.get(name) or self.weak_.get(name)
 
-    def _canary_expected(self, name: str, now: float) -> bool:
-        suspicion = self._suspicion(name)
-        return suspicion is not None and not suspicion.over(now, now)
-
     def _record(self, name: str, crash: Crash, now: float) -> bool:
         if self.check(name, now) == Verdict.CONDEMNED:
             return False
@@ -268,8 +263,6 @@
             suspicion = Suspicion()
         if not suspicion.add(crash):
             return False
-        if suspicion.cleared_at is not None and crash.at > suspicion.cleared_at:
-            suspicion.cleared_at = None
         suspicion.changed_at = now
         if suspicion.conclusive():
             self._condemn(name, now + QUARANTINE_S)
