Tell new peers which replicas are leaving

A joining host also dropped notices. Change: marks in force go to each new peer with the time left; notices are kept before the first object set. Conclusion: evidence of leaving replicas survives a host without links.

--- a/jackdawsill/routing/_handlers.py
+++ b/jackdawsill/routing/_handlers.py
@@ -5,10 +5,11 @@
     HostState,
     LogEvent,
     PeerMessageRead,
+    SendPeer,
     SetAccepted,
     handles,
 )
-from jackdawsill.membership import MemberTable
+from jackdawsill.membership import MemberTable, PeerUp
 from jackdawsill.routing._log_events import REPLICA_LEAVING
 from jackdawsill.routing._messages import LeavingNotice
 from jackdawsill.routing._replica import LEAVING_TTL_S
@@ -24,6 +25,7 @@
         return []
     start_id = f"{state.name}:{state.rng.getrandbits(64):016x}"
     table.remember_notice(start_id, now)
+    table.state_of(replica).leaving_start_id = start_id
     notice = LeavingNotice(replica, start_id, LEAVING_TTL_S)
     return [
         LogEvent(REPLICA_LEAVING, {"replica": replica, "source": source}),
@@ -43,11 +45,10 @@
     notice = event.message
     if not isinstance(notice, LeavingNotice):
         return []
-    if state.objects_ is None or notice.replica not in state.objects_.replicas:
-        return []
-    table = state.parts_.get(ReplicaTable)
-    if table is None:
+    # A host that is still joining has no set yet and keeps every notice.
+    if state.objects_ and notice.replica not in state.objects_.replicas:
         return []
+    table = state.part(ReplicaTable)
     if not table.on_notice(notice.replica, notice.start_id, notice.ttl_s, now):
         return []
     return [
@@ -56,6 +57,17 @@
     ]
 
 
+@handles(PeerUp, needs=ReplicaTable)
+def on_peer_up(state: HostState, event: PeerUp, now: float) -> list[Effect]:
+    """Tell a new peer which replicas are leaving, for it may have just started."""
+    if event.brief:
+        return []
+    return [
+        SendPeer(event.link_id, LeavingNotice(mark.replica, mark.start_id, mark.ttl_s))
+        for mark in state.part(ReplicaTable).leaving(now)
+    ]
+
+
 @handles(SetAccepted, needs=ReplicaTable)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Forget replicas that the new set does not contain."""
--- a/jackdawsill/routing/_replica.py
+++ b/jackdawsill/routing/_replica.py
@@ -39,9 +39,10 @@
     backoff_s: float = EJECT_MIN_S
     ejected_until: float | None = None
     leaving_until: float | None = None
+    leaving_start_id: str = ""
     ramp_from: float | None = None
     reserved: bool = False
-    # Whether any of the four fields above is set; the common path checks only this.
+    # Whether any of the fields above is set; the common path checks only this.
     flagged: bool = False
 
     def update_flag(self) -> None:
--- a/jackdawsill/routing/_table.py
+++ b/jackdawsill/routing/_table.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Collection, Iterable
+from dataclasses import dataclass
 
 from jackdawsill.core import FailureKind, LoadReport
 from jackdawsill.objects import ObjectSet, Replica
@@ -21,6 +22,15 @@
 NOTICE_MEMORY_S = 120.0
 
 
+@dataclass(slots=True, frozen=True)
+class LeavingMark:
+    """A replica that takes no new work, with the time left in seconds."""
+
+    replica: str
+    start_id: str
+    ttl_s: float
+
+
 class ReplicaTable:
     """Choose replicas by the power of two choices (Mitzenmacher, 2001)."""
 
@@ -142,7 +152,20 @@
         self.remember_notice(start_id, now)
         if not 0 < ttl_s <= LEAVING_TTL_S:
             return False
-        return self.mark_leaving(replica, now, ttl_s)
+        is_first = self.mark_leaving(replica, now, ttl_s)
+        if is_first:
+            self.state_of(replica).leaving_start_id = start_id
+        return is_first
+
+    def leaving(self, now: float) -> list[LeavingMark]:
+        """Return the marks in force, for peers that have just connected."""
+        return [
+            LeavingMark(name, seen.leaving_start_id, seen.leaving_until - now)
+            for name, seen in self.replicas_.items()
+            if seen.leaving_until is not None
+            and seen.leaving_until > now
+            and seen.leaving_start_id
+        ]
 
     def remember_notice(self, start_id: str, now: float) -> None:
         """Remember a start id, and forget those that are too old."""
--- /dev/null
+++ b/jackdawsill/routing/tests/test_handlers.py
@@ -0,0 +1,37 @@
+"""Tests of the spread of leaving notices."""
+
+import random
+import unittest
+
+from jackdawsill.core import HostState, PeerMessageRead, SendPeer, reduce
+from jackdawsill.membership import Member, MemberTable, PeerUp
+from jackdawsill.routing import LeavingNotice, ReplicaTable, spread_leaving
+
+
+class TestLeavingNotices(unittest.TestCase):
+    """Guards the limit on new work for leaving replicas across hosts."""
+
+    def setUp(self):
+        self.state = HostState("h1", "bogota", random.Random(1))
+        self.state.attach(MemberTable(Member("a" * 32, "h1", "10.0.0.1:1", "bogota")))
+        self.state.attach(ReplicaTable("bogota"))
+
+    def test_new_peer_learns_what_is_leaving(self):
+        """Guards against evidence seen while a host had no links staying there."""
+        spread_leaving(self.state, "r1", "draining refusal", 10.0)
+        effects = reduce(self.state, PeerUp(7, "b" * 32, brief=False), 12.0)
+        (sent,) = [e for e in effects if isinstance(e, SendPeer)]
+        self.assertEqual((sent.link_id, sent.message.replica), (7, "r1"))
+        self.assertEqual(sent.message.ttl_s, 28.0)
+
+    def test_expired_marks_are_not_told(self):
+        """Guards against a returned replica being marked again by a new peer."""
+        spread_leaving(self.state, "r1", "draining refusal", 10.0)
+        effects = reduce(self.state, PeerUp(7, "b" * 32, brief=False), 41.0)
+        self.assertEqual([e for e in effects if isinstance(e, SendPeer)], [])
+
+    def test_joining_host_keeps_notices(self):
+        """Guards against a notice that arrives before the first object set."""
+        notice = LeavingNotice("r1", "h2:1", 30.0)
+        reduce(self.state, PeerMessageRead(7, notice), 10.0)
+        self.assertFalse(self.state.part(ReplicaTable).may_use("r1", 11.0))
