--- a/jackdawsill/matrix/_backends.py
+++ b/jackdawsill/matrix/_backends.py
@@ -172,7 +172,11 @@
     def _note_leaving(self, call: SubInFlight) -> None:
         world = self.world
         assert world is not None
-        evidence = LeavingEvidence(world.now, call.host.name, call.sub.replica)
+        if not call.host.alive:
+            return
+        # A paused host takes the answer when it wakes.
+        at_s = max(world.now, call.host.paused_until_s)
+        evidence = LeavingEvidence(at_s, call.host.name, call.sub.replica)
         world.journal.leaving.append(evidence)
 
     def _items(self, sub: SendSub) -> list[dict[str, Any]]:
