Send forwards as soon as the link to the issuer is up

Cause: in fleets without links between all hosts a forward waited for a timer after the handshake, and membership closed the link within 100 ms.

--- a/jackdawsill/membership/_table.py
+++ b/jackdawsill/membership/_table.py
@@ -58,6 +58,7 @@
         "entries_",
         "evidence_",
         "fleet_key",
+        "held_",
         "leaving_",
         "links_",
         "live_",
@@ -87,6 +88,7 @@
         self.members_: dict[str, Member] = {}
         self.entries_: dict[str, Entry] = {}
         self.links_: dict[str, int] = {}
+        self.held_: dict[str, float] = {}  # peers whose links are kept until a time
         self.live_: tuple[Member, ...] = ()
         self.live_version_ = -1
         self.version_ = 0
@@ -117,6 +119,17 @@
         """Return the id of the open link to a member."""
         return self.links_.get(incarnation)
 
+    def hold_link(self, incarnation: str, until_s: float) -> None:
+        """Keep a link that is not one to a monitor open for a request in hand."""
+        self.held_[incarnation] = max(until_s, self.held_.get(incarnation, until_s))
+
+    def held_peers(self, now: float) -> set[str]:
+        """Return the peers whose links are held."""
+        for incarnation, until_s in list(self.held_.items()):
+            if now >= until_s:
+                del self.held_[incarnation]
+        return set(self.held_)
+
     def broadcast(self, message: Any) -> list[SendPeer]:
         """Return the effects that send a message on all links."""
         return [SendPeer(link_id, message) for link_id in self.links_.values()]
--- a/jackdawsill/membership/_upkeep.py
+++ b/jackdawsill/membership/_upkeep.py
@@ -156,7 +156,7 @@
                 )
                 effects.append(OpenLink(link.link_id, link.address))
         if len(table.links_) > len(targets):
-            kept = {member.incarnation for member in targets}
+            kept = {member.incarnation for member in targets} | table.held_peers(now)
             for peer, link_id in list(table.links_.items()):
                 link = table.net_.links_.get(link_id)
                 if peer not in kept and link is not None and link.outgoing:
--- a/jackdawsill/tickets/_forwarding.py
+++ b/jackdawsill/tickets/_forwarding.py
@@ -25,9 +25,9 @@
 MAX_DEADLINE_S = 30.0
 # A link that is not usable by then is closed, and another one is opened.
 OPEN_TIMEOUT_S = 1.0
-# Every open link is pinged each second; without this limit the hosts of a large fleet
-# would link to all others over time.
-IDLE_LINK_S = 30.0
+# Membership closes links that it does not need itself; a link with a forward stays
+# until the reply at the deadline has arrived.
+HOLD_MARGIN_S = 1.0
 DEADLINE_TIMER = "tickets:deadline:"
 RETRY_TIMER = "tickets:retry:"
 
@@ -85,12 +85,11 @@
     ) -> list[Effect]:
         """Send a call over the link to its issuer, or open a link first."""
         members = state.part(MemberTable)
+        members.hold_link(target, call.deadline_at + HOLD_MARGIN_S)
         link_id = members.link_to(target)
         if link_id is None:
             return self._open_link(state, members, target, now)
         self.opening_.pop(target, None)
-        if link_id in self.dialled_:
-            self.dialled_[link_id] = now
         call.link_id = link_id
         message = TicketForward(
             call.forward_id,
@@ -118,21 +117,8 @@
             return effects
         link_id = state.next_id()
         self.opening_[target] = (link_id, now)
-        self.dialled_[link_id] = now
         return [*effects, OpenLink(link_id, member.address)]
 
-    def close_idle_links(self, now: float) -> list[Effect]:
-        """Close links that were opened for forwards and are not used any more."""
-        in_use = {call.link_id for call in self.calls_.values()}
-        idle = [
-            link_id
-            for link_id, used_at in self.dialled_.items()
-            if now - used_at >= IDLE_LINK_S and link_id not in in_use
-        ]
-        for link_id in idle:
-            del self.dialled_[link_id]
-        return [CloseLink(link_id) for link_id in idle]
-
     def _member(self, members: MemberTable, incarnation: str) -> Member | None:
         """Return a live member by its incarnation."""
         found = (m for m in members.live_hosts() if m.incarnation == incarnation)
@@ -152,6 +138,20 @@
             return self._reply(state, query_id, exc, now)
         return []
 
+    def on_peer_up(self, state: HostState, now: float) -> list[Effect]:
+        """Send the forwards that waited for a link, without their timer."""
+        waiting = [call for call in self.calls_.values() if self._waits(call)]
+        effects: list[Effect] = []
+        for call in waiting:
+            effects += self._route_call(state, call, now)
+        return effects
+
+    def _waits(self, call: LocalCall) -> bool:
+        """Tell whether a call waits for a link to its issuer."""
+        return call.link_id is None and (
+            self.closed_ or call.incarnation not in self.ledgers_
+        )
+
     def on_link_closed(
         self, state: HostState, event: LinkClosed, now: float
     ) -> list[Effect]:
@@ -161,7 +161,6 @@
             for target, entry in self.opening_.items()
             if entry[0] != event.link_id
         }
-        self.dialled_.pop(event.link_id, None)
         effects: list[Effect] = []
         for call in self.calls_.values():
             if call.link_id == event.link_id:
--- a/jackdawsill/tickets/_handlers.py
+++ b/jackdawsill/tickets/_handlers.py
@@ -16,6 +16,7 @@
     handles,
     status_section,
 )
+from jackdawsill.membership import PeerUp
 from jackdawsill.stopping import BaseHandover, InHand, register_handover
 from jackdawsill.stopping import register_in_hand as in_hand
 from jackdawsill.tickets._messages import (
@@ -62,6 +63,12 @@
     return state.part(TicketOffice).on_link_closed(state, event, now)
 
 
+@handles(PeerUp, needs=TicketOffice)
+def on_peer_up(state: HostState, event: PeerUp, now: float) -> list[Effect]:
+    """Send the forwards that waited for a link."""
+    return state.part(TicketOffice).on_peer_up(state, now)
+
+
 @handles(PauseDetected, needs=TicketOffice)
 def on_pause(state: HostState, event: PauseDetected, now: float) -> list[Effect]:
     """Start nothing until the host is confirmed."""
--- a/jackdawsill/tickets/_office.py
+++ b/jackdawsill/tickets/_office.py
@@ -56,7 +56,6 @@
     __slots__ = (
         "calls_",
         "closed_",
-        "dialled_",
         "forwards_",
         "handed_over_",
         "installed_",
@@ -82,7 +81,6 @@
         self.calls_: dict[int, LocalCall] = {}  # by query id
         self.forwards_: dict[int, int] = {}  # forward id to query id
         self.opening_: dict[str, tuple[int, float]] = {}  # link id and start
-        self.dialled_: dict[int, float] = {}  # links opened here, last use
         self.staged_: dict[str, Staged] = {}
         # Senders of handovers. They are never forgotten: an old copy of a window
         # that is installed twice would let spent tickets run again.
@@ -202,7 +200,7 @@
         for sender, staged in list(self.staged_.items()):
             if now - staged.began_at > STAGED_TIMEOUT_S:
                 del self.staged_[sender]
-        effects = self.close_idle_links(now)
+        effects: list[Effect] = []
         for sub_id, run in list(self.subs_.items()):
             if now > run.demand.deadline_at + LOST_REPORT_S:
                 del self.subs_[sub_id]
--- a/jackdawsill/tickets/tests/fleet.py
+++ b/jackdawsill/tickets/tests/fleet.py
@@ -114,6 +114,9 @@
         """Drop messages of other components."""
         return []
 
+    def hold_link(self, incarnation, until_s):
+        """Keep every link."""
+
     def leave(self):
         """Tell nobody."""
         return []
