Give back connections when a share falls, and accept IPv6 addresses

Idle connections above a lowered share stayed open while the replica was in use, which kept them from other hosts. The next requests now close theirs. Replies may take as long as the configured deadline, where sanic's own limit of 60 s cut them off untyped.

--- a/jackdawsill/daemon/_backend_client.py
+++ b/jackdawsill/daemon/_backend_client.py
@@ -38,15 +38,46 @@
 class _Pool:
     """Sub-requests to one backend server; `n_used` connections are in use."""
 
-    __slots__ = ("base_url", "n_max", "n_used", "urls", "waiting")
+    __slots__ = (
+        "base_url",
+        "n_excess",
+        "n_max",
+        "n_peak",
+        "n_used",
+        "urls",
+        "waiting",
+    )
 
     def __init__(self, address: str) -> None:
         self.base_url = f"http://{address}"
         self.n_max = 1
         self.n_used = 0
+        self.n_peak = 0  # bounds the open connections from above
+        self.n_excess = 0  # connections to close because the limit fell
         self.waiting: deque[_Sub] = deque()
         self.urls: dict[str, URL] = {}
 
+    def set_limit(self, n_max: int) -> None:
+        """Take a new limit; connections above it are closed after their next use."""
+        if n_max == self.n_max:
+            return
+        self.n_max = n_max
+        self.n_excess = max(0, self.n_peak - n_max)
+
+    def take(self) -> None:
+        """Count a connection in use."""
+        self.n_used += 1
+        if self.n_used > self.n_peak:
+            self.n_peak = self.n_used
+
+    def take_excess(self) -> bool:
+        """Tell whether the connection about to be used is to be closed after it."""
+        if not self.n_excess:
+            return False
+        self.n_excess -= 1
+        self.n_peak -= 1
+        return True
+
     def url(self, shard: str) -> URL:
         """Return the URL of a shard; parsing a URL costs more than a look-up."""
         url = self.urls.get(shard)
@@ -158,11 +189,11 @@
         if pool is None:
             pool = self._pools[effect.address] = _Pool(effect.address)
         if effect.repeatable:
-            pool.n_max = max(1, effect.n_connections_max)
+            pool.set_limit(max(1, effect.n_connections_max))
         else:
             # Tickets send without a share of their own; they must not lower the
             # share that queries were given.
-            pool.n_max = max(pool.n_max, effect.n_connections_max)
+            pool.set_limit(max(pool.n_max, effect.n_connections_max))
         wire_id = f"{effect.request_id}.{self.tag}{effect.sub_id}"
         at_s = self._loop.time() + effect.timeout_s
         sub = _Sub(effect, pool, wire_id, at_s)
@@ -189,7 +220,7 @@
     def _begin(self, sub: _Sub) -> None:
         """Use a connection of the pool for a sub-request."""
         assert self._loop is not None
-        sub.pool.n_used += 1
+        sub.pool.take()
         sub.task = self._loop.create_task(self._run(sub))
 
     def _release(self, pool: _Pool) -> None:
@@ -238,7 +269,7 @@
             # outside the pool would break the replica's connection cap.
             self.n_cancels_unsent_ += 1
             return
-        pool.n_used += 1
+        pool.take()
         task = self._loop.create_task(self._run_cancel(sub))
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
@@ -280,14 +311,17 @@
         assert self._session is not None and self._loop is not None
         effect = sub.effect
         left_s = sub.at_s - self._loop.time() - NETWORK_S
+        headers = {
+            "X-Request-Id": sub.wire_id,
+            "X-Snapshot": effect.snapshot,
+            "X-Deadline-Ms": str(max(1, int(left_s * 1000))),
+        }
+        if sub.pool.take_excess():
+            headers["Connection"] = "close"
         resp = await self._session.post(
             sub.pool.url(effect.shard),
             data=effect.body,
-            headers={
-                "X-Request-Id": sub.wire_id,
-                "X-Snapshot": effect.snapshot,
-                "X-Deadline-Ms": str(max(1, int(left_s * 1000))),
-            },
+            headers=headers,
             allow_redirects=False,
         )
         try:
@@ -300,10 +334,10 @@
             resp.close()
             detail = f"answer over {self.max_answer_bytes} bytes"
             return SubFailed(effect.sub_id, FailureKind.BAD_ANSWER, detail=detail)
-        headers = resp.headers
         if resp.status == 200:
-            return check_answer(effect, sub.wire_id, body, "X-Draining" in headers)
-        refusal = headers.get("X-Refusal", "")
+            draining = "X-Draining" in resp.headers
+            return check_answer(effect, sub.wire_id, body, draining)
+        refusal = resp.headers.get("X-Refusal", "")
         return classify_refusal(effect, resp.status, refusal, body, sub.cancelled)
 
     def _lost(self, sub: _Sub, exc: Exception) -> SubFailed:
--- a/jackdawsill/daemon/_build.py
+++ b/jackdawsill/daemon/_build.py
@@ -4,6 +4,7 @@
 
 from jackdawsill.assembly import assemble_host, new_incarnation
 from jackdawsill.core import HostState
+from jackdawsill.daemon._addresses import join_address
 from jackdawsill.membership import Member
 from jackdawsill.objects import load_bundle
 from jackdawsill.settings import Settings
@@ -20,7 +21,7 @@
     member = Member(
         incarnation=new_incarnation(rng),
         name=host.name,
-        address=f"{host.address}:{peer_port or host.peer_port}",
+        address=join_address(host.address, peer_port or host.peer_port),
         failure_domain=host.failure_domain,
     )
     seeds = tuple(str(seed) for seed in cfg.platform.seeds)
--- a/jackdawsill/daemon/_caller_server.py
+++ b/jackdawsill/daemon/_caller_server.py
@@ -35,7 +35,13 @@
         self.replies = Replies(self._on_unclaimed)
         self.ready_ = False
         self.reason_ = "no object set yet"
-        self.http = HttpServer("callers", self._on_error, limits.max_body_bytes)
+        # The host's own bound comes first, so that the refusal is a typed one.
+        self.http = HttpServer(
+            "callers",
+            self._on_error,
+            limits.max_body_bytes,
+            self.reply_limit_s + REPLY_MARGIN_S,
+        )
         self.http.app.add_route(
             self._query, "/v1/query/<route:str>", methods=["POST"], name="query"
         )
--- a/jackdawsill/daemon/_http_server.py
+++ b/jackdawsill/daemon/_http_server.py
@@ -24,6 +24,8 @@
 BACKLOG = 1024
 MAX_BODY_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 16 * 1024
+RESPONSE_TIMEOUT_S = 30.0
+KEEP_ALIVE_S = 75
 FLUSH_LIMIT_S = 2.0  # for replies that are being written when the host ends
 FLUSH_STEP_S = 0.002
 
@@ -33,7 +35,8 @@
 
 def listening_socket(address: str, port: int) -> socket.socket:
     """Return a bound socket; with port 0 the kernel chooses the port."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((address, port))
@@ -74,6 +77,7 @@
         name: str,
         on_error: Callable[[JackdawsillError], None],
         max_body_bytes: int = MAX_BODY_BYTES,
+        response_timeout_s: float = RESPONSE_TIMEOUT_S,
     ) -> None:
         self.app = Sanic(
             f"jackdawsill-{name}-{next(_serials)}", configure_logging=False
@@ -84,7 +88,8 @@
                 "MOTD": False,
                 "REQUEST_MAX_SIZE": max_body_bytes,
                 "REQUEST_MAX_HEADER_SIZE": MAX_HEADER_BYTES,
-                "KEEP_ALIVE_TIMEOUT": 75,
+                "KEEP_ALIVE_TIMEOUT": KEEP_ALIVE_S,
+                "RESPONSE_TIMEOUT": response_timeout_s,
                 "FALLBACK_ERROR_FORMAT": "json",
                 # The rewriting of sanic's own methods at start works only for the
                 # first application of a process.
--- a/jackdawsill/daemon/_links.py
+++ b/jackdawsill/daemon/_links.py
@@ -12,6 +12,7 @@
     PeerMessageRead,
     SendPeer,
 )
+from jackdawsill.daemon._addresses import join_address, split_address
 from jackdawsill.daemon._driver import Driver
 from jackdawsill.daemon._log_events import BAD_PEER_MESSAGE
 from jackdawsill.exceptions import JackdawsillError
@@ -46,7 +47,7 @@
         if self.link_id is None:
             self.link_id = self.links.driver.state.next_id()
             peer = transport.get_extra_info("peername")
-            self.address = f"{peer[0]}:{peer[1]}" if peer else ""
+            self.address = join_address(peer[0], peer[1]) if peer else ""
         self.links.on_opened(self, outgoing)
 
     def data_received(self, data: bytes) -> None:
@@ -177,10 +178,10 @@
         detail = "closed before it was open"
         opened = False
         try:
-            host, _, port = address.rpartition(":")
+            host, port = split_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.create_connection(
-                    lambda: _Link(self, link_id, address), host, int(port)
+                    lambda: _Link(self, link_id, address), host, port
                 )
             opened = True
         except (OSError, ValueError, TimeoutError) as exc:
--- a/jackdawsill/daemon/_process.py
+++ b/jackdawsill/daemon/_process.py
@@ -23,6 +23,7 @@
     StopRequested,
     SubFailed,
 )
+from jackdawsill.daemon._addresses import join_address
 from jackdawsill.daemon._backend_client import BackendClient, Outcome
 from jackdawsill.daemon._build import build_state
 from jackdawsill.daemon._caller_server import CallerServer
@@ -62,17 +63,17 @@
     @property
     def caller_address(self) -> str:
         """Return host:port of the callers' server."""
-        return f"{self.cfg.host.address}:{self.callers.http.port_}"
+        return join_address(self.cfg.host.address, self.callers.http.port_)
 
     @property
     def operator_address(self) -> str:
         """Return host:port of the operators' server."""
-        return f"{self.cfg.host.address}:{self.operators.http.port_}"
+        return join_address(self.cfg.host.address, self.operators.http.port_)
 
     @property
     def peer_address(self) -> str:
         """Return host:port of the peer listener."""
-        return f"{self.cfg.host.address}:{self.links.port_}"
+        return join_address(self.cfg.host.address, self.links.port_)
 
     async def start(self) -> None:
         """Open all ports, then send the first tick."""
--- a/jackdawsill/daemon/tests/test_backend_client.py
+++ b/jackdawsill/daemon/tests/test_backend_client.py
@@ -97,6 +97,18 @@
             self.assertIsInstance(await self.outcome(sub_id), SubAnswered)
         self.assertLessEqual(self.backend.listener.server_.n_accepted_, 2)
 
+    async def test_connections_are_given_back_when_the_limit_falls(self):
+        """Guards against idle connections that other hosts need."""
+        self.backend.script.n_slots = 50
+        for sub_id in [self.send(n_max=6) for _ in range(6)]:
+            await self.outcome(sub_id)
+        server = self.backend.listener.server_
+        self.assertEqual(len(server.transports_), 6)
+        for _ in range(8):
+            await self.outcome(self.send(n_max=2))
+        self.assertLessEqual(len(server.transports_), 2)
+        self.assertLessEqual(server.n_accepted_, 7)
+
     async def test_wire_ids_differ(self):
         """Guards against a cancel that hits another sub-request of its request."""
         for shard in ("s01", "s02"):
