--- a/jackdawsill/tickets/_handlers.py
+++ b/jackdawsill/tickets/_handlers.py
@@ -1,5 +1,7 @@
 """Reducer handlers of tickets."""
 
+from typing import Any
+
 from jackdawsill.core import (
     CallerLeft,
     Effect,
@@ -12,6 +14,7 @@
     Tick,
     TimerFired,
     handles,
+    status_section,
 )
 from jackdawsill.stopping import BaseHandover, InHand, register_handover
 from jackdawsill.stopping import register_in_hand as in_hand
@@ -29,62 +32,53 @@
     return state.parts_.get(TicketOffice)
 
 
-@handles(SubAnswered)
+@handles(SubAnswered, needs=TicketOffice)
 def on_sub_answered(state: HostState, event: SubAnswered, now: float) -> list[Effect]:
     """Record the answer of a ticketed request."""
-    office = _office(state)
-    return office.on_answered(state, event, now) if office else []
+    return state.part(TicketOffice).on_answered(state, event, now)
 
 
-@handles(SubFailed)
+@handles(SubFailed, needs=TicketOffice)
 def on_sub_failed(state: HostState, event: SubFailed, now: float) -> list[Effect]:
     """Record the failure of a ticketed request, or try another replica."""
-    office = _office(state)
-    return office.on_failed(state, event, now) if office else []
+    return state.part(TicketOffice).on_failed(state, event, now)
 
 
-@handles(TimerFired)
+@handles(TimerFired, needs=TicketOffice)
 def on_timer(state: HostState, event: TimerFired, now: float) -> list[Effect]:
     """Repeat or end a waiting call."""
-    office = _office(state)
-    return office.on_timer(state, event, now) if office else []
+    return state.part(TicketOffice).on_timer(state, event, now)
 
 
-@handles(CallerLeft)
+@handles(CallerLeft, needs=TicketOffice)
 def on_caller_left(state: HostState, event: CallerLeft, now: float) -> list[Effect]:
     """Forget a caller that left."""
-    office = _office(state)
-    return office.on_caller_left(event) if office else []
+    return state.part(TicketOffice).on_caller_left(event)
 
 
-@handles(LinkClosed)
+@handles(LinkClosed, needs=TicketOffice)
 def on_link_closed(state: HostState, event: LinkClosed, now: float) -> list[Effect]:
     """Ask again for the outcome of forwards on a closed link."""
-    office = _office(state)
-    return office.on_link_closed(state, event, now) if office else []
+    return state.part(TicketOffice).on_link_closed(state, event, now)
 
 
-@handles(PauseDetected)
+@handles(PauseDetected, needs=TicketOffice)
 def on_pause(state: HostState, event: PauseDetected, now: float) -> list[Effect]:
     """Start nothing until the host is confirmed."""
-    office = _office(state)
-    return office.on_pause(event, now) if office else []
+    return state.part(TicketOffice).on_pause(event, now)
 
 
-@handles(Tick)
+@handles(Tick, needs=TicketOffice)
 def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
     """Drop what is past its time."""
-    office = _office(state)
-    return office.on_tick(state, now) if office else []
+    return state.part(TicketOffice).on_tick(state, now)
 
 
-@handles(PeerMessageRead)
+@handles(PeerMessageRead, needs=TicketOffice)
 def on_message(state: HostState, event: PeerMessageRead, now: float) -> list[Effect]:
     """Handle the messages about tickets."""
-    office = _office(state)
+    office = state.part(TicketOffice)
     message = event.message
-    if office is None:
-        return []
     if isinstance(message, TicketForward):
         return office.on_forward(state, event.link_id, message, now)
     if isinstance(message, TicketReply):
@@ -120,3 +114,18 @@
         """Tell whether the successor has acknowledged."""
         office = _office(state)
         return office is None or office.handed_over_
+
+
+@status_section("tickets")
+def ticket_status(state: HostState, now: float) -> dict[str, Any]:
+    """Return what the ticket office holds."""
+    office = _office(state)
+    if office is None:
+        return {}
+    return {
+        "n_in_hand": office.n_in_hand(),
+        "n_bytes": sum(ledger.n_bytes() for ledger in office.ledgers_.values()),
+        "decides_for": sorted(office.ledgers_),
+        "closed": office.closed_,
+        "confirmed": office.paused_at_ is None,
+    }
--- a/jackdawsill/tickets/tests/test_office.py
+++ b/jackdawsill/tickets/tests/test_office.py
@@ -3,18 +3,27 @@
 import unittest
 from dataclasses import replace
 
+from jackdawsill.burn import ErrorBudgets, burn_report
 from jackdawsill.core import (
+    CloseLink,
     FailureKind,
     LinkClosed,
     PauseDetected,
+    QueryArrived,
+    SubAnswered,
     Tick,
     TimerFired,
+    reduce,
 )
 from jackdawsill.exceptions import Outcome
 from jackdawsill.membership import MemberTable
+from jackdawsill.objects import Objective
 from jackdawsill.quarantine import Quarantine
+from jackdawsill.routing import ReplicaTable
 from jackdawsill.spread import ConfigSpread
-from jackdawsill.tickets import TicketReply
+from jackdawsill.tickets import TicketReply, check_refusal
+from jackdawsill.tickets._errors import TicketInvalid, TicketNotEntitled
+from jackdawsill.tickets._issuer import MAX_WAITERS
 from jackdawsill.tickets._ledger import RETENTION_S, TICKET_TTL_S, Ledger
 from jackdawsill.tickets.tests.fleet import Fleet
 
@@ -97,6 +106,22 @@
         quarantine = fleet.hosts["a"].state.part(Quarantine)
         self.assertEqual(quarantine.crashes.total(), 2)
 
+    def test_suspect_runs_alone_on_its_replica(self):
+        """Guards against a suspected request that takes others down with it."""
+        fleet = self.fleet
+        fleet.ask("a", fleet.ticket("a"), b"suspect")
+        fleet.fail(FailureKind.CRASH)
+        fleet.ask("a", fleet.ticket("a"), b"suspect")
+        refused = fleet.ask("a", fleet.ticket("a"), b"suspect")
+        self.assertEqual(fleet.code(refused), 3014)
+        for i in range(20):
+            fleet.ask("a", fleet.ticket("a"), b"other %d" % i)
+        used = [sub.replica for _, sub in fleet.subs]
+        self.assertEqual(used.count(used[0]), 1)
+        fleet.answer()
+        table = fleet.hosts["a"].state.part(ReplicaTable)
+        self.assertFalse(table.state_of(used[0]).reserved)
+
     def test_refusal_as_not_run_is_final(self):
         """Guards against a copy that runs after its caller was told not_run."""
         fleet, ticket = self.fleet, self.fleet.ticket("a")
@@ -193,6 +218,20 @@
         self.assertEqual(len(fleet.subs), 2)
         self.assertLessEqual(office.ledgers_["a"].n_bytes(), 1400)
 
+    def test_bodies_and_copies_in_hand_are_bounded(self):
+        """Guards against memory that grows with what callers send at once."""
+        fleet = self.fleet
+        too_long = fleet.ask("a", fleet.ticket("a"), b"x" * 1024 * 1024)
+        self.assertEqual(fleet.code(too_long), 3002)
+        body, ticket = b"x" * 900 * 1024, fleet.ticket("a")
+        queries = [fleet.ask("a", ticket, body) for _ in range(9)]
+        self.assertEqual([fleet.code(q) for q in queries], [None] * 8 + [3009])
+        fleet.answer()
+        self.assertEqual(fleet.office("a").n_body_bytes_, 0)
+        ticket = fleet.ticket("a")
+        queries = [fleet.ask("a", ticket) for _ in range(MAX_WAITERS + 1)]
+        self.assertEqual(fleet.code(queries[-1]), 3009)
+
     def test_dropped_answer_is_unknown(self):
         """Guards against a second run when the recorded answer was dropped."""
         fleet = self.fleet
@@ -206,6 +245,43 @@
         self.assertEqual(codes, [3009, 3009, 3009, 0])
         self.assertEqual(fleet.ran[b"x"], 4)
 
+    def test_refusal_before_the_ticket_is_read(self):
+        """Guards against not_run for a resend whose first copy ran elsewhere."""
+        request = QueryArrived(1, "r1", "order", "token-a", b"x", ticket="t")
+        # A resend may also differ from the first copy in a bad header.
+        for exc in (TicketNotEntitled("no route"), TicketInvalid("bad header")):
+            check_refusal(request, exc)
+            self.assertIs(exc.outcome, Outcome.OUTCOME_UNKNOWN)
+        first = TicketNotEntitled("no route")
+        check_refusal(replace(request, ticket=None), first)
+        self.assertIs(first.outcome, Outcome.NOT_RUN)
+        self.assertIs(TicketNotEntitled("other request").outcome, Outcome.NOT_RUN)
+
+    def test_draining_answer_stops_new_work(self):
+        """Guards against orders sent to a replica that is known to leave."""
+        fleet = self.fleet
+        fleet.ask("a", fleet.ticket("a"))
+        name, sub = fleet.subs.pop()
+        event = SubAnswered(sub.sub_id, sub.request_id, "v1", "s1", [], None, True)
+        fleet.feed(name, event)
+        table = fleet.hosts["a"].state.part(ReplicaTable)
+        self.assertFalse(table.may_use(sub.replica, fleet.now))
+
+    def test_replies_feed_the_error_budgets(self):
+        """Guards against orders that are missing from the burn report."""
+        fleet = self.fleet
+        state = fleet.hosts["a"].state
+        state.attach(ErrorBudgets("a"))
+        objective = Objective("o", "order", 340, 0.99, 0.999, 0.05)
+        state.objects_ = replace(state.objects_, objectives={"o": objective})
+        fleet.ask("a", fleet.ticket("a"), b"1")
+        fleet.answer()
+        fleet.ask("a", fleet.ticket("a"), b"2")
+        fleet.fail(FailureKind.TIMEOUT)
+        fleet.ask("a", "no ticket")
+        row = burn_report(state, fleet.now)["series"][0]["windows"]["300"]
+        self.assertEqual((row["n"], row["n_slow"], row["n_missing"]), (2, 1, 1))
+
 
 class TestForward(unittest.TestCase):
     """Guards requests whose ticket belongs to another host."""
@@ -237,6 +313,14 @@
         fleet.messages[:] = [("a", "b", reply)]
         fleet.deliver_all()
         self.assertEqual(fleet.code(query), 3009)
+        # An answer that does not fit into a peer message cannot be forwarded.
+        query = fleet.ask("b", fleet.ticket("a"))
+        fleet.deliver_all()
+        name, sub = fleet.subs.pop()
+        items = [{"class": "proof", "text": "x" * 1024 * 1024}]
+        fleet.feed(name, SubAnswered(sub.sub_id, sub.request_id, "v1", "s1", items))
+        fleet.deliver_all()
+        self.assertEqual(fleet.code(query), 3009)
 
     def test_lost_issuer_is_unknown(self):
         """Guards against not_run when the issuer may have sent the request."""
@@ -260,6 +344,10 @@
         fleet.feed("b", TimerFired(f"tickets:retry:{query}"))
         fleet.deliver_all()
         self.assertEqual((fleet.code(query), fleet.ran[b"x"]), (0, 1))
+        # A link opened for a forward does not stay open for ever.
+        fleet.now += 60.0
+        closed = reduce(fleet.hosts["b"].state, Tick(), fleet.now)
+        self.assertEqual([type(e) for e in closed], [CloseLink])
 
     def test_unreachable_issuer_at_the_deadline(self):
         """Guards against not_run when the issuer cannot be reached in time."""
