--- a/jackdawsill/daemon/_main.py
+++ b/jackdawsill/daemon/_main.py
@@ -37,15 +37,17 @@
 async def run_host(cfg: Settings) -> int:
     """Run one host until its graceful stop has ended."""
     host = HostProcess(cfg)
+    # The handlers come first: a signal during the start must not end the process in
+    # the middle of it.
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, host.request_stop)
     try:
         await host.start()
     except OSError as exc:
         log_event(START_FAILED, name=cfg.host.name, detail=repr(exc))
         await host.stop()
         return EXIT_START_FAILED
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, host.request_stop)
     tune_gc()
     await host.exited.wait()
     return EXIT_OK
--- a/jackdawsill/daemon/_process.py
+++ b/jackdawsill/daemon/_process.py
@@ -58,6 +58,8 @@
         self.metrics = PlainMetrics()
         self._ending: asyncio.Task | None = None
         self._started = False
+        self._running = False
+        self._stop_wanted = False  # asked for before the start had ended
         self._stopped = False
 
     @property
@@ -76,7 +78,7 @@
         return join_address(self.cfg.host.address, self.links.port_)
 
     async def start(self) -> None:
-        """Open all ports, then send the first tick."""
+        """Start the driver and open all ports."""
         host = self.cfg.host
         # The peer port is part of this host's identity, so it is bound first.
         peer_socket = listening_socket(host.address, host.peer_port)
@@ -99,10 +101,11 @@
         self._started = True
         await self.backends.start()
         await self.platform.start()
+        # Before the ports open, so that the first event from outside has timers.
+        self.driver.start()
         await self.links.start(peer_socket)
         await self.operators.http.start(host.address, host.operator_port)
         await self.callers.http.start(host.address, host.caller_port)
-        self.driver.start()
         self.driver.log(
             STARTED,
             name=host.name,
@@ -110,6 +113,9 @@
             operator_port=self.operators.http.port_,
             peer_port=self.links.port_,
         )
+        self._running = True
+        if self._stop_wanted:
+            self.request_stop()
 
     async def stop(self) -> None:
         """Close everything; callers that still wait get `outcome_unknown`."""
@@ -128,7 +134,10 @@
 
     def request_stop(self) -> None:
         """Ask for a graceful stop; `exited` is set at its end."""
-        self.driver.feed(StopRequested())
+        if self._running:
+            self.driver.feed(StopRequested())
+        else:
+            self._stop_wanted = True
 
     def _register_actions(self) -> None:
         """Fill the driver's table of actions."""
