--- a/jackdawsill/matrix/_backends.py
+++ b/jackdawsill/matrix/_backends.py
@@ -147,9 +147,9 @@
         answer = SubAnswered(
             sub_id=sub.sub_id,
             request_id=sub.request_id,
-            snapshot=sub.snapshot,
+            snapshot=backend.answers_from or sub.snapshot,
             shard=sub.shard,
-            items=self._items(sub),
+            items=self._items(sub, backend.answers_from or sub.snapshot),
             load=backend.load(),
             draining=backend.draining,
         )
@@ -160,7 +160,10 @@
                 request_id=sub.request_id + "-other",
                 snapshot=sub.snapshot,
                 shard=sub.shard,
-                items=[{"class": "approved-proof", "body": "another caller's"}],
+                items=[
+                    {**item, "body": "another caller's"}
+                    for item in self._items(sub, sub.snapshot)
+                ],
             )
             world.feed(call.host, foreign)
         if backend.draining:
@@ -179,12 +182,12 @@
         evidence = LeavingEvidence(at_s, call.host.name, call.sub.replica)
         world.journal.leaving.append(evidence)
 
-    def _items(self, sub: SendSub) -> list[dict[str, Any]]:
+    def _items(self, sub: SendSub, snapshot: str) -> list[dict[str, Any]]:
         return [
             {
                 "class": "approved-proof" if n else "draft",
                 "shard": sub.shard,
-                "snapshot": sub.snapshot,
+                "snapshot": snapshot,
                 "body": sub.body.decode(),
                 "n": n,
             }
--- a/jackdawsill/matrix/_cells.py
+++ b/jackdawsill/matrix/_cells.py
@@ -204,8 +204,11 @@
     world.run_until(world.now + 0.7)
     scenario.publish_again()
     world.fire("publish", host)
+    world.after(
+        BACKGROUND_S,
+        lambda: world.config_cut.difference_update(other.name for other in others),
+    )
     world.run_until(world.now + 1.0)
-    world.config_cut.difference_update(other.name for other in others)
 
 
 def script_ticket(scenario: Scenario) -> None:
--- a/jackdawsill/matrix/_fakes.py
+++ b/jackdawsill/matrix/_fakes.py
@@ -24,6 +24,8 @@
     cap_refused: bool = False
     corrupt: bool = False
     cut_off: bool = False
+    # Snapshot that answers come from, whatever was asked for.
+    answers_from: str | None = None
     unservable: set[str] = field(default_factory=set)
     poison: set[bytes] = field(default_factory=set)
     n_running: int = 0
@@ -64,10 +66,9 @@
 
     def publish(self, objects: ObjectSet) -> None:
         """Store a set as one value and its manifest, the manifest last."""
-        value = repr(sorted(objects.routes.values(), key=lambda r: r.name)).encode()
-        value += repr(sorted(objects.replicas.values(), key=lambda r: r.name)).encode()
-        value += repr(sorted(objects.callers.values(), key=lambda c: c.name)).encode()
-        value += repr(sorted(objects.snapshots)).encode()
+        kinds = (objects.callers, objects.replicas, objects.routes, objects.snapshots)
+        parts = [str(objects.generation), *(repr(sorted(k.items())) for k in kinds)]
+        value = "\n".join(parts).encode()
         sha256 = hashlib.sha256(value).hexdigest()
         entry = {"key": sha256, "sha256": sha256, "size": len(value)}
         manifest = json.dumps(
--- a/jackdawsill/matrix/_faults.py
+++ b/jackdawsill/matrix/_faults.py
@@ -103,6 +103,15 @@
     set_for_a_while(ctx, ctx.backend(), "shedding", True)
 
 
+@fault("shedding_all")
+def inject_shedding_all(ctx: FaultContext) -> None:
+    """Make all replicas of one service shed their load."""
+    service = ctx.backend().replica.service
+    for backend in sorted_backends(ctx.scenario.world.backends.backends):
+        if backend.replica.service == service:
+            set_for_a_while(ctx, backend, "shedding", True)
+
+
 @fault("cap_refused")
 def inject_cap_refused(ctx: FaultContext) -> None:
     """Make one replica refuse connections at its cap."""
@@ -127,6 +136,12 @@
     set_for_a_while(ctx, ctx.backend(), "corrupt", True)
 
 
+@fault("other_snapshot")
+def inject_other_snapshot(ctx: FaultContext) -> None:
+    """Make one replica answer from another snapshot than the one asked for."""
+    set_for_a_while(ctx, ctx.backend(), "answers_from", "archivo-2")
+
+
 @fault("late_and_doubled_answers")
 def inject_doubled_answers(ctx: FaultContext) -> None:
     """Deliver answers twice, and answers of cancelled sub-requests late."""
--- /dev/null
+++ b/jackdawsill/matrix/tests/test_matrix.py
@@ -0,0 +1,157 @@
+"""Tests that run the fault matrix, and that its checks can fail."""
+
+import random
+import unittest
+from unittest import mock
+
+from jackdawsill.core import NOT_RUN_KINDS, Exit, FailureKind, SetReadiness
+from jackdawsill.matrix import (
+    FAULTS,
+    STEPS,
+    Cell,
+    CellResult,
+    pair_cells,
+    run_cell,
+    single_cells,
+)
+from jackdawsill.matrix._build import build_host
+from jackdawsill.query import _deliver, _wait
+from jackdawsill.query._merge import merge
+from jackdawsill.query._model import Query
+from jackdawsill.routing import ReplicaTable
+from jackdawsill.spread import ConfigSpread
+from jackdawsill.spread._pull import SERVICE
+from jackdawsill.stopping import Stopping
+from jackdawsill.tickets import _issuer
+
+N_PAIRS = 120
+PAIR_SEED = 20261204
+
+
+def cell(fault: str, script: str, step: str) -> Cell:
+    """Return the cell of one fault at one step."""
+    found = next(s for s in STEPS if (s.script, s.name) == (script, step))
+    return Cell(((fault, found),))
+
+
+def run(fault: str, script: str, step: str) -> CellResult:
+    """Run the cell of one fault at one step."""
+    return run_cell(cell(fault, script, step), build_host)
+
+
+class TestMatrix(unittest.TestCase):
+    """Guards all invariants under every fault at every step."""
+
+    def test_single_cells(self):
+        """Guards against a fault at one step that breaks an invariant."""
+        reached = set()
+        for one in single_cells():
+            with self.subTest(one.name, seed=one.seed):
+                result = run_cell(one, build_host)
+                self.assertEqual(result.violations, ())
+                self.assertGreater(result.n_answers, 0)
+            if result.n_struck:
+                reached.add(one.strikes[0][1])
+        # A step that no cell reaches would prove nothing.
+        self.assertEqual(reached, set(STEPS))
+
+    def test_pairs(self):
+        """Guards against two faults that together break an invariant."""
+        cells = random.Random(PAIR_SEED).sample(list(pair_cells()), N_PAIRS)
+        for one in cells:
+            with self.subTest(one.name, seed=one.seed):
+                self.assertEqual(run_cell(one, build_host).violations, ())
+
+
+class TestBrokenDecisions(unittest.TestCase):
+    """Guards against checks that cannot fail: each must catch a broken decision."""
+
+    def assert_caught(self, name: str, result: CellResult) -> None:
+        """Check that a run reached its fault and broke the named invariant."""
+        self.assertEqual(result.n_struck, 1)
+        caught = {violation.split(":")[0] for violation in result.violations}
+        self.assertIn(name, caught)
+
+    def test_answer_of_two_snapshots(self):
+        """I1: accept answers without comparing the snapshot."""
+        with mock.patch.object(_wait, "_wrong_field", lambda *args: ""):
+            self.assert_caught("I1", run("other_snapshot", "query", "send"))
+
+    def test_coverage_of_missing_shards(self):
+        """I2: report all shards as covered."""
+
+        def merge_all(query, caller, route, objects):
+            answer = merge(query, caller, route, objects)
+            names = tuple(task.shard.name for task in query.tasks)
+            return type(answer)(
+                answer.request_id,
+                answer.route,
+                answer.snapshot,
+                answer.generation,
+                True,
+                names,
+                (),
+                answer.items,
+            )
+
+        with mock.patch.object(_deliver, "merge", merge_all):
+            self.assert_caught("I2", run("shedding_all", "query", "admit"))
+
+    def test_answer_of_another_request(self):
+        """I3: accept answers without comparing the request id."""
+        with mock.patch.object(_wait, "_wrong_field", lambda *args: ""):
+            self.assert_caught("I3", run("foreign_answer", "query", "admit"))
+
+    def test_refusal_of_a_run_request(self):
+        """I4: say 'not run' although sub-requests were sent."""
+        with mock.patch.object(Query, "may_have_run", False):
+            self.assert_caught("I4", run("poison", "query", "wait"))
+
+    def test_second_run_after_a_crash(self):
+        """I5: send a not-repeatable request again after a crash."""
+        kinds = NOT_RUN_KINDS | {FailureKind.CRASH}
+        with mock.patch.object(_issuer, "NOT_RUN_KINDS", kinds):
+            self.assert_caught("I5", run("replica_crash", "ticket", "run"))
+
+    def test_work_for_a_leaving_replica(self):
+        """I6: ignore the evidence that a replica is leaving."""
+        with mock.patch.object(ReplicaTable, "mark_leaving", return_value=False):
+            self.assert_caught("I6", run("replica_drains", "query", "admit"))
+
+    def test_stop_that_cuts_off_requests(self):
+        """I7: exit at once when asked to stop."""
+
+        def on_stop(self, state, now):
+            return [SetReadiness(False), Exit()]
+
+        with mock.patch.object(Stopping, "on_stop", on_stop):
+            self.assert_caught("I7", run("straggler", "stop", "request"))
+
+    def test_notices_of_generations_ignored(self):
+        """I8: ignore what peers say about newer generations."""
+
+        def on_offer(self, source, *args):
+            return offer(self, source, *args) if source == SERVICE else []
+
+        offer = ConfigSpread.on_offer
+        with mock.patch.object(ConfigSpread, "on_offer", on_offer):
+            self.assert_caught("I8", run("straggler", "configuration", "publish"))
+
+    def test_late_replies(self):
+        """Deadline: answer after the caller's deadline."""
+        with mock.patch("jackdawsill.query._admit.ANSWER_MARGIN_S", -0.05):
+            self.assert_caught("deadline", run("shedding_all", "query", "admit"))
+
+    def test_missing_replies(self):
+        """Replies: forget a query without a reply when its time is up."""
+        with mock.patch("jackdawsill.query._handlers.finish", lambda *args: None):
+            self.assert_caught("replies", run("straggler", "query", "admit"))
+
+
+class TestRegistries(unittest.TestCase):
+    """Guards the size of the matrix."""
+
+    def test_every_fault_meets_every_step(self):
+        """Guards against cells that are left out."""
+        names = {one.name for one in single_cells()}
+        self.assertEqual(len(names), len(FAULTS) * len(STEPS))
