--- /dev/null
+++ b/benchmarks/_control_scenarios.py
@@ -0,0 +1,244 @@
+"""Scenarios of control: configuration, leaving notices, recovery, single runs."""
+
+import asyncio
+import time
+from dataclasses import replace
+from typing import Any
+
+import aiohttp
+
+from benchmarks._load import quantile
+from benchmarks._scenarios import ARCHIVO_RATE, Row, scaled, scenario
+from benchmarks._sets import (
+    ARCHIVO,
+    ONCE_ROUTE,
+    TOKEN,
+    in_domain,
+    replica_names,
+    with_weight,
+)
+from benchmarks._world import Variant, World
+
+N_PUBLICATIONS = 20
+PUBLICATIONS_LIMIT_S = 6.0  # no publication begins after this time
+IN_FORCE_LIMIT_S = 10.0
+# A host counts as using a failure domain again at this part of its usual work.
+RECOVERED_PART = 0.8
+RECOVERY_STEP_S = 1.0
+RECOVERY_LIMIT_S = 11.0
+ONCE_RATE = 40.0
+ONCE_S = 5.0
+LEAVING_MEASURE_S = 3.0
+
+
+@scenario("configuration")
+async def configuration(variant: Variant, seed: int) -> list[Row]:
+    """Time publications until they are in force on all hosts."""
+    rows = []
+    async with World(ARCHIVO, variant, seed) as world:
+        times_s = await _publish_many(world)
+        rows.append(_spread_row("all hosts watch", times_s))
+    # Only one host sees the service's new values; the others learn from peers.
+    async with World(ARCHIVO, variant, seed, split_config=True) as world:
+        times_s = await _publish_many(world)
+        rows.append(_spread_row("one host sees the service", times_s))
+        for host in world.hosts:
+            await host.call("faults", drop_fraction=0.2, cut_from=[])
+        times_s = await _publish_many(world)
+        rows.append(_spread_row("same, 20% of messages lost", times_s))
+        await world.hosts[0].call("faults", drop_fraction=0.0, cut_from=["host-1"])
+        await world.hosts[1].call("faults", drop_fraction=0.0, cut_from=["host-0"])
+        await world.hosts[2].call("faults", drop_fraction=0.0, cut_from=[])
+        times_s = await _publish_many(world)
+        rows.append(_spread_row("same, one link cut", times_s))
+    return rows
+
+
+async def _publish_many(world: World) -> list[float | None]:
+    """Return the times of publications one after the other."""
+    times_s: list[float | None] = []
+    end_s = time.monotonic() + scaled(PUBLICATIONS_LIMIT_S)
+    while len(times_s) < scaled(N_PUBLICATIONS) and time.monotonic() < end_s:
+        times_s.append(await _publish(world))
+    return times_s
+
+
+async def _publish(world: World) -> float | None:
+    """Publish a set; return the seconds until all hosts use it, or None."""
+    generation = world.generation + 1
+    waits = [
+        asyncio.create_task(
+            host.call("in_force", generation=generation, limit_s=IN_FORCE_LIMIT_S)
+        )
+        for host in world.hosts
+    ]
+    await asyncio.sleep(0.02)
+    started_s = time.monotonic()
+    world.publish(with_weight(world.objects, 1.0 + generation))
+    times_s = await asyncio.gather(*waits)
+    if any(at_s is None for at_s in times_s):
+        return None
+    return max(times_s) - started_s
+
+
+def _spread_row(part: str, times_s: list[float | None]) -> Row:
+    """Return the quantiles of the times; None counts as over the limit."""
+    known = sorted(IN_FORCE_LIMIT_S if t is None else t for t in times_s)
+    return {
+        "part": part,
+        "n": len(known),
+        "in_force_p50_ms": round(quantile(known, 0.5) * 1000),
+        "in_force_p99_ms": round(quantile(known, 0.99) * 1000),
+        "n_not_in_force": sum(t is None for t in times_s),
+    }
+
+
+@scenario("leaving")
+async def leaving(variant: Variant, seed: int) -> list[Row]:
+    """Time the last new work after the first leaving header of a replica."""
+    names = [f"{ARCHIVO.name}-00{n}-{x}" for n, x in enumerate("abcabc")]
+    async with World(ARCHIVO, variant, seed) as world:
+        await world.warm_up(ARCHIVO_RATE)
+
+        async def change() -> None:
+            for name in names:
+                await asyncio.sleep(0.3)
+                await world.to_backends(
+                    "script", names=[name], fields={"leaving": True}
+                )
+
+        task = asyncio.create_task(change())
+        row = await world.measure(ARCHIVO_RATE, LEAVING_MEASURE_S)
+        await task
+        last_s = []
+        for name in names:
+            found = [r for r in await world.to_backends("replica", name=name) if r]
+            last_s.append(found[0]["last_arrived_at"] - found[0]["first_leaving_at"])
+    last_s = sorted(max(0.0, t) for t in last_s)
+    return [
+        row,
+        {
+            "part": "last new work",
+            "n": len(names),
+            "median_ms": round(quantile(last_s, 0.5) * 1000, 1),
+            "max_ms": round(last_s[-1] * 1000, 1),
+        },
+    ]
+
+
+@scenario("recovery")
+async def recovery(variant: Variant, seed: int) -> list[Row]:
+    """Time the return of a failure domain to its usual part of the work."""
+    domain = in_domain(ARCHIVO, "b")
+    async with World(ARCHIVO, variant, seed) as world:
+        await world.warm_up(ARCHIVO_RATE)
+        usual = await _work_of(world, domain)
+        await world.to_backends("crash", names=domain)
+        lost = await world.measure(ARCHIVO_RATE, 2.0)
+        await world.to_backends("restart", names=domain)
+        started_s = time.monotonic()
+        first_s = recovered_s = None
+        while time.monotonic() - started_s < RECOVERY_LIMIT_S:
+            part = await _work_of(world, domain)
+            now_s = time.monotonic() - started_s
+            if part > 0 and first_s is None:
+                first_s = now_s
+            if part >= RECOVERED_PART * usual:
+                recovered_s = now_s
+                break
+    return [
+        {
+            "part": "domain back",
+            "usual_part": round(usual, 3),
+            "complete_while_lost": lost["complete"],
+            "first_work_s": None if first_s is None else round(first_s, 1),
+            "recovered_s": None if recovered_s is None else round(recovered_s, 1),
+        }
+    ]
+
+
+async def _work_of(world: World, names: list[str]) -> float:
+    """Return the part of the work of one step that runs on some replicas."""
+    before = await _runs(world)
+    await world.generator.run(ARCHIVO_RATE, RECOVERY_STEP_S)
+    after = await _runs(world)
+    total = sum(after.values()) - sum(before.values())
+    return sum(after[n] - before[n] for n in names) / max(1, total)
+
+
+async def _runs(world: World) -> dict[str, int]:
+    replies = await world.to_backends("runs")
+    return {name: n for reply in replies for name, n in reply.items()}
+
+
+@scenario("once")
+async def once(variant: Variant, seed: int) -> list[Row]:
+    """Send requests that must run once while their replicas crash and return.
+
+    Each caller sends its ticket again after any failure, through another host.
+    """
+    shape = replace(ARCHIVO, with_orders=True)
+    orders = [n for n in replica_names(shape) if n.startswith("orders")]
+    outcomes: dict[str, int] = {}
+    answered: set[int] = set()
+    not_run: set[int] = set()
+    async with World(shape, variant, seed) as world:
+
+        async def faults() -> None:
+            for name in orders[:2]:
+                await asyncio.sleep(1.0)
+                await world.to_backends("crash", names=[name])
+                await asyncio.sleep(1.0)
+                await world.to_backends("restart", names=[name])
+
+        task = asyncio.create_task(faults())
+        requests = []
+        for n in range(int(ONCE_RATE * ONCE_S)):
+            requests.append(asyncio.create_task(_order(world, n)))
+            await asyncio.sleep(1 / ONCE_RATE)
+        for n, outcome in enumerate(await asyncio.gather(*requests)):
+            outcomes[outcome] = outcomes.get(outcome, 0) + 1
+            if outcome == "answered":
+                answered.add(n)
+            elif outcome.endswith("/not_run"):
+                not_run.add(n)
+        await task
+        runs: dict[int, int] = {}
+        for reply in await world.to_backends("totals"):
+            for n, count in reply["once"]:
+                runs[n] = runs.get(n, 0) + count
+    return [
+        {
+            "part": "crashes",
+            "n": int(ONCE_RATE * ONCE_S),
+            "outcomes": outcomes,
+            "run_twice": sum(count > 1 for count in runs.values()),
+            "answered_but_not_run": len(answered - runs.keys()),
+            "run_but_refused_as_not_run": len(not_run & runs.keys()),
+        }
+    ]
+
+
+async def _order(world: World, n: int) -> str:
+    """Send one request with a ticket until its outcome is known."""
+    session = world.generator.session
+    headers = {"Authorization": f"Bearer {TOKEN}", "X-Request-Id": f"once{n}"}
+    outcome = "no reply"
+    for attempt in range(4):
+        address = world.addresses[(n + attempt) % len(world.addresses)]["caller"]
+        url = f"http://{address}/v1/query/{ONCE_ROUTE}"
+        try:
+            async with session.post(url, json={"n": n}, headers=headers) as resp:
+                body: dict[str, Any] = await resp.json()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            await asyncio.sleep(0.05)
+            continue
+        if resp.status == 200:
+            return "answered" if body["complete"] else "not covered"
+        error = body["error"]
+        outcome = f"{error['name']}/{error['outcome']}"
+        if resp.status == 428 and "ticket" in body:
+            headers["X-Ticket"] = body["ticket"]
+        elif resp.status == 428:
+            headers["X-Ticket"] = error["ticket"]
+    return outcome
--- /dev/null
+++ b/benchmarks/_load.py
@@ -0,0 +1,201 @@
+"""Open-loop load and the figures of one measurement.
+
+Requests are sent at times that were drawn beforehand, whatever the answers do, and a
+latency counts from the intended time of the send. A slow answer therefore delays no
+later request, and a late send counts as latency (no coordinated omission).
+"""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+import msgspec
+
+TARGET_S = 0.340  # 99 in 100 answers arrive within this time
+GIVE_UP_S = 6.0
+MAX_REQUESTS = 40_000  # of one measurement
+
+
+@dataclass(slots=True)
+class Sample:
+    """Outcome of one request; times in seconds from the start."""
+
+    intended_s: float
+    latency_s: float
+    status: int  # 0: the connection failed
+    n_covered: int = 0
+    n_shards: int = 0
+    is_wrong: bool = False
+    is_doubled: bool = False
+    error: str = ""
+
+    @property
+    def is_useful(self) -> bool:
+        """Tell whether the answer is complete and in time."""
+        return (
+            self.status == 200
+            and self.n_covered == self.n_shards
+            and self.latency_s <= TARGET_S
+            and not self.is_wrong
+        )
+
+
+@dataclass(slots=True)
+class Load:
+    """Samples of one measurement."""
+
+    rate: float
+    duration_s: float
+    n_shards: int
+    samples: list[Sample] = field(default_factory=list)
+    send_lags_s: list[float] = field(default_factory=list)
+    cpu_s: float = 0.0
+    elapsed_s: float = 0.0
+
+
+def check_answer(sample: Sample, body: dict[str, Any], request_id: str, n: int) -> None:
+    """Check that an answer is whole, consistent and for this request only."""
+    covered, missing = body["covered"], body["missing"]
+    items = body["items"]
+    sample.n_covered = len(covered)
+    shards = [*covered, *(entry["shard"] for entry in missing)]
+    sample.is_doubled = len(set(shards)) < len(shards) or len(items) > len(covered)
+    sample.is_wrong = (
+        body["request_id"] != request_id
+        or len(shards) != sample.n_shards
+        or body["complete"] != (not missing)
+        or any(item["n"] != n for item in items)
+        or any(item["snapshot"] != body["snapshot"] for item in items)
+        or {item["id"] for item in items} != set(covered)
+    )
+
+
+class Generator:
+    """Send queries to the entry hosts in turn."""
+
+    def __init__(
+        self, addresses: list[str], route: str, token: str, n_shards: int, seed: int
+    ) -> None:
+        self.urls = [f"http://{a}/v1/query/{route}" for a in addresses]
+        self.headers = {"Authorization": f"Bearer {token}"}
+        self.n_shards = n_shards
+        self.rng = random.Random(seed)
+        self.n_sent = 0
+        self.session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the client."""
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(total=GIVE_UP_S),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def stop(self) -> None:
+        """Close the client."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def run(self, rate: float, duration_s: float) -> Load:
+        """Offer `rate` queries per second with random gaps (Poisson arrivals)."""
+        load = Load(rate, duration_s, self.n_shards)
+        loop = asyncio.get_running_loop()
+        tasks: set[asyncio.Task] = set()
+        n_max = min(MAX_REQUESTS, int(rate * duration_s * 2) + 10)
+        cpu_s = time.process_time()
+        start_s = time.perf_counter()
+        intended_s = 0.0
+        for _ in range(n_max):
+            intended_s += self.rng.expovariate(rate)
+            if intended_s >= duration_s:
+                break
+            wait_s = start_s + intended_s - time.perf_counter()
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+            task = loop.create_task(self._one(load, start_s, intended_s))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        left_s = start_s + duration_s - time.perf_counter()
+        await asyncio.sleep(max(0.0, left_s))
+        load.cpu_s = time.process_time() - cpu_s
+        load.elapsed_s = time.perf_counter() - start_s
+        if tasks:
+            await asyncio.gather(*tasks)
+        return load
+
+    async def _one(self, load: Load, start_s: float, intended_s: float) -> None:
+        assert self.session is not None
+        self.n_sent += 1
+        n = self.n_sent
+        request_id = f"b{n}"
+        url = self.urls[n % len(self.urls)]
+        sample = Sample(intended_s, 0.0, 0, n_shards=self.n_shards)
+        load.send_lags_s.append(time.perf_counter() - start_s - intended_s)
+        try:
+            async with self.session.post(
+                url,
+                data=b'{"n": %d}' % n,
+                headers={**self.headers, "X-Request-Id": request_id},
+            ) as resp:
+                data = await resp.read()
+                sample.status = resp.status
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            sample.error = type(exc).__name__
+        sample.latency_s = time.perf_counter() - start_s - intended_s
+        if sample.status == 200:
+            check_answer(sample, msgspec.json.decode(data), request_id, n)
+        elif sample.status:
+            error = msgspec.json.decode(data)["error"]
+            sample.error = f"{error['name']}/{error['outcome']}"
+        load.samples.append(sample)
+
+
+def quantile(values: list[float], q: float) -> float:
+    """Return a quantile of sorted values by the nearest rank."""
+    if not values:
+        return float("nan")
+    return values[min(len(values) - 1, int(q * len(values)))]
+
+
+def figures(load: Load) -> dict[str, Any]:
+    """Return the figures of a measurement; latencies are those of answers."""
+    samples = load.samples
+    answers = [s for s in samples if s.status == 200]
+    latencies = sorted(s.latency_s for s in answers)
+    lags = sorted(load.send_lags_s)
+    n_shards = sum(s.n_shards for s in answers)
+    errors = Counter(s.error for s in samples if s.error)
+    refused = sum(n for e, n in errors.items() if e.endswith("/not_run"))
+    return {
+        "offered_per_s": round(len(samples) / load.duration_s, 1),
+        "n_requests": len(samples),
+        "n_answers": len(answers),
+        "p50_ms": _ms(quantile(latencies, 0.5)),
+        "p99_ms": _ms(quantile(latencies, 0.99)),
+        "p999_ms": _ms(quantile(latencies, 0.999)),
+        "in_time": _part(sum(s <= TARGET_S for s in latencies), len(answers)),
+        "shards_covered": _part(sum(s.n_covered for s in answers), n_shards),
+        "complete": _part(
+            sum(s.n_covered == s.n_shards for s in answers), len(answers)
+        ),
+        "useful_per_s": round(sum(s.is_useful for s in samples) / load.duration_s, 1),
+        "n_refused": refused,
+        "n_failed": sum(errors.values()) - refused,
+        "errors": dict(errors),
+        "n_wrong": sum(s.is_wrong for s in answers),
+        "n_doubled": sum(s.is_doubled for s in answers),
+        "generator_cpu": round(load.cpu_s / load.elapsed_s, 2),
+        "send_lag_p99_ms": _ms(quantile(lags, 0.99)),
+    }
+
+
+def _ms(seconds: float) -> float:
+    return round(seconds * 1000, 1)
+
+
+def _part(n: int, total: int) -> float:
+    return round(n / total, 5) if total else float("nan")
