Count samples before taking a percentile for the hedge delay

Cause: while a service had fewer than 100 samples, each call of delay_s took a percentile of its histogram (a visit of 725 counters) and threw it away. A profile of one host at 10 queries/s to 140 shards showed 7.0 s of 16.4 s profiled time in it, and 40 ms in each wake-up of the hedge timer.

The extra load sits at the budget, so some stragglers still find no token.

--- a/jackdawsill/hedging/_policy.py
+++ b/jackdawsill/hedging/_policy.py
@@ -77,19 +77,22 @@
             del self.learned_[name]
 
     def _refresh(self, learned: _Learned, now: float) -> None:
-        total = 0
+        histograms = [learned.current]
+        if learned.previous is not None:
+            histograms.append(learned.previous)
+        total = sum(histogram.total_count for histogram in histograms)
+        if total < N_SAMPLES_MIN:
+            # Counted before any percentile is taken: services with few samples
+            # are asked for their delay with every sub-request.
+            learned.delay_s = DEFAULT_DELAY_S
+            return
         weighted = 0.0
-        for histogram in (learned.current, learned.previous):
-            if histogram is not None and histogram.total_count:
-                n_samples = histogram.total_count
+        for histogram in histograms:
+            if histogram.total_count:
                 value = histogram.get_value_at_percentile(100 * self.quantile)
-                total += n_samples
                 # The mean of both quantiles, weighted by samples, avoids adding
                 # up two histograms of a thousand counters.
-                weighted += n_samples * value
-        if total < N_SAMPLES_MIN:
-            learned.delay_s = DEFAULT_DELAY_S
-            return
+                weighted += histogram.total_count * value
         quantile_s = weighted / total * UNIT_S
         learned.delay_s = max(MIN_DELAY_S, DELAY_FACTOR * quantile_s)
         learned.refresh_at = now + REFRESH_S
