Hedge the last open shards of a query first

Cause: while a host sends and reads 140 sub-requests, two overlapping queries delay all shards alike. A profile showed 10635 of 11340 shards due for a hedge; the budget went to these and real stragglers found no token.

While more than a tenth of the shards (at least 2) are open, a shard is hedged only after three times its delay, which still covers hanging replicas.

--- a/jackdawsill/query/_hedge.py
+++ b/jackdawsill/query/_hedge.py
@@ -12,6 +12,24 @@
 # Sub-requests in flight for one shard.
 N_IN_FLIGHT_LATENCY = 2
 N_IN_FLIGHT_COVERAGE = 3
+# While more shards than these are open, a late shard is mostly the effect of a busy
+# host or group, and a hedge would make that worse and leave no token for stragglers.
+LAST_FRACTION = 0.1
+N_LAST_MIN = 2
+# A shard that has waited this many delays is hedged whatever else is open, since
+# the replicas of a whole failure domain may hang.
+PATIENCE = 3.0
+
+
+def n_last(query: Query) -> int:
+    """Return how many open shards count as the last ones of a query."""
+    return max(N_LAST_MIN, int(LAST_FRACTION * len(query.tasks)))
+
+
+def hedge_last(query: Query, now: float, out: list[Effect]) -> None:
+    """Look for due hedges at once when an answer leaves only the last shards."""
+    if len(query.open) == n_last(query):
+        arm(query, now, out)
 
 
 def hedge(state: HostState, query: Query, now: float, out: list[Effect]) -> None:
@@ -19,25 +37,28 @@
     query.hedge_timer_at = float("inf")
     if now >= query.cutoff_at:
         return
-    due = [
-        task
-        for task in query.open.values()
-        if task.hedge_at <= now + TIMER_STEP_S and (task.subs or task is query.canary)
-    ]
+    policy = state.part(HedgePolicy)
+    is_last = len(query.open) <= n_last(query)
+    due: list[ShardTask] = []
+    next_at = query.cutoff_at
+    for task in query.open.values():
+        if not task.subs and task is not query.canary:
+            continue
+        due_at = task.hedge_at
+        if not is_last and task is not query.canary and not task.is_hedge_checked:
+            due_at += (PATIENCE - 1) * policy.delay_s(task.shard.service, now)
+        if due_at <= now + TIMER_STEP_S:
+            due.append(task)
+        else:
+            next_at = min(next_at, due_at)
     if due:
         found = verdict(state, query, now)
         if found is Verdict.CONDEMNED:
             return
         for task in due:
             _hedge_shard(state, query, task, found, now, out)
-    next_at = min(
-        (
-            task.hedge_at
-            for task in query.open.values()
-            if task.hedge_at > now and (task.subs or task is query.canary)
-        ),
-        default=query.cutoff_at,
-    )
+            if task.hedge_at > now:
+                next_at = min(next_at, task.hedge_at)
     if next_at < query.cutoff_at:
         arm(query, next_at, out)
 
@@ -52,6 +73,7 @@
 ) -> None:
     delay_s = state.part(HedgePolicy).delay_s(task.shard.service, now)
     task.hedge_at = now + delay_s
+    task.is_hedge_checked = True
     if task is query.canary:
         move_canary(state, query, now, out)
         return
--- a/jackdawsill/query/_model.py
+++ b/jackdawsill/query/_model.py
@@ -36,6 +36,7 @@
 
     shard: Shard
     hedge_at: float = float("inf")
+    is_hedge_checked: bool = False  # was due for a hedge, sent or not
     n_attempts: int = 0
     tried: tuple[str, ...] = ()
     subs: list[SubRequest] = field(default_factory=list)
--- a/jackdawsill/query/_wait.py
+++ b/jackdawsill/query/_wait.py
@@ -22,6 +22,7 @@
     start_same,
 )
 from jackdawsill.query._cancel import cancel_sub, end_canary
+from jackdawsill.query._hedge import hedge_last
 from jackdawsill.query._log_events import BAD_ANSWER
 from jackdawsill.query._model import Query, ShardTask, SubRequest
 from jackdawsill.query._parts import parts_of
@@ -71,6 +72,7 @@
     if task.subs:
         _cancel_losers(state, task, now, out)
     table.close(query, task)
+    hedge_last(query, now, out)
     if sub.is_canary:
         on_canary_answered(state, query, now, out)
     use_room(state, (sub,), now, out)
--- a/jackdawsill/query/tests/test_failures.py
+++ b/jackdawsill/query/tests/test_failures.py
@@ -125,6 +125,30 @@
         losers = [s.shard for s in world.sent[n_sent:] if s.sub_id in world.cancelled]
         self.assertEqual(losers, ["s007"])
 
+    def test_busy_host_sends_no_hedges(self):
+        """Guards against hedges for a delay that meets all shards alike."""
+        world = World(object_set(26, 140))
+        for _ in range(20):
+            world.ask()
+            world.run()
+        world.behave = lambda r, s: (0.025, None)
+        n_sent = len(world.sent)
+        world.ask()
+        world.run()
+        self.assertEqual(len(world.sent) - n_sent, 140)
+
+    def test_hanging_replicas_are_hedged(self):
+        """Guards against a hang of many replicas that is taken for a busy host."""
+        world = World(object_set(26, 140))
+        for _ in range(20):
+            world.ask()
+            world.run()
+        world.behave = lambda r, s: (0.01 if r[-1] != "0" else 5.0, None)
+        n_sent = len(world.sent)
+        world.ask()
+        world.run()
+        self.assertGreater(len(world.sent) - n_sent, 145)
+
     def test_leaving_replica(self):
         """Guards against work for a leaving replica here and at the peers."""
         world = World()
