Keep shedding of a few services from refusing queries to the others

Cause: 2 of 10 services that shed 30% made half of all queries meet a shed shard. Each such query lowered the admission window of the whole group, and waited until its cutoff for a retry that the shed limit forbids.

Sheds of services over the retry limit no longer lower the window if they hold at most a quarter of the shards, and a latency-first query that waits only for such services answers at once with true coverage.

--- a/jackdawsill/query/_deliver.py
+++ b/jackdawsill/query/_deliver.py
@@ -12,7 +12,7 @@
     Refuse,
 )
 from jackdawsill.exceptions import JackdawsillError, Outcome
-from jackdawsill.limits import AdmissionQueue
+from jackdawsill.limits import AdmissionQueue, ShedWatch
 from jackdawsill.query._admit import apply_released, overloaded
 from jackdawsill.query._canary import start_same
 from jackdawsill.query._cancel import cancel_all
@@ -29,6 +29,10 @@
 from jackdawsill.query._table import QueryTable
 from jackdawsill.snapshots import SnapshotTable, announce_servable
 
+# If at most this part of a query's shards is held by services that shed, fewer
+# queries would idle the other services; retries to the shedding ones end anyway.
+LOCAL_FRACTION = 0.25
+
 
 def finish(state: HostState, query: Query, now: float, out: list[Effect]) -> None:
     """Give a query its one reply."""
@@ -107,11 +111,23 @@
         now,
         service_s=service_s,
         mean_latency_s=mean_s,
-        shed_fraction=query.n_shed / max(1, query.n_needed),
+        shed_fraction=_shed_fraction(state, query, now),
     )
     apply_released(state, released, group, out)
 
 
+def _shed_fraction(state: HostState, query: Query, now: float) -> float:
+    """Return the part of a query's work whose shedding fewer queries would cure."""
+    if not query.n_shed:
+        return 0.0
+    watch = state.part(ShedWatch)
+    n_shedding = sum(watch.is_shedding(t.shard.service, now) for t in query.tasks)
+    n_shed = query.n_shed
+    if n_shedding <= LOCAL_FRACTION * len(query.tasks):
+        n_shed -= query.n_shed_locally
+    return n_shed / max(1, query.n_needed)
+
+
 def _reply(state: HostState, query: Query, now: float) -> Deliver | Refuse:
     objects = state.objects_
     caller = objects.callers.get(query.caller.name)
--- a/jackdawsill/query/_model.py
+++ b/jackdawsill/query/_model.py
@@ -73,6 +73,7 @@
     n_needed: int = 0
     n_canary_crashes: int = 0
     n_shed: int = 0
+    n_shed_locally: int = 0  # by services that shed too much for a retry
     n_declined: int = 0
     n_answered: int = 0
     latency_sum_s: float = 0.0
--- a/jackdawsill/query/_wait.py
+++ b/jackdawsill/query/_wait.py
@@ -73,6 +73,7 @@
         _cancel_losers(state, task, now, out)
     table.close(query, task)
     hedge_last(query, now, out)
+    _end_if_shed(state, query)
     if sub.is_canary:
         on_canary_answered(state, query, now, out)
     use_room(state, (sub,), now, out)
@@ -174,7 +175,9 @@
     elif kind is FailureKind.SHED:
         query.n_shed += 1
         state.part(ConcurrencyLimits).on_shed(replica, query.n_slots, now)
-        state.part(ShedWatch).on_shed(service, now)
+        watch = state.part(ShedWatch)
+        watch.on_shed(service, now)
+        query.n_shed_locally += watch.is_shedding(service, now)
     elif kind is FailureKind.DRAINING:
         out.extend(spread_leaving(state, replica, "draining refusal", now))
     elif kind is FailureKind.DECLINED:
@@ -243,6 +246,7 @@
     service = task.shard.service
     if kind is FailureKind.SHED and state.part(ShedWatch).is_shedding(service, now):
         table.park(table.shed_, query, task)
+        _end_if_shed(state, query)
         return
     coverage = query.is_coverage_first
     n_max = N_ATTEMPTS_COVERAGE if coverage else N_ATTEMPTS_LATENCY
@@ -252,6 +256,19 @@
     send_shard(state, query, task, now, out)
 
 
+def _end_if_shed(state: HostState, query: Query) -> None:
+    """End a latency-first query that only waits for services that shed.
+
+    Shedding is seen over up to a second, so it rarely ends before the deadline; the
+    wait would hold a place of the admission queue and delay a true partial answer.
+    """
+    table = state.part(QueryTable)
+    if query.is_coverage_first or not query.open:
+        return
+    if all(task.parked_in is table.shed_ for task in query.open.values()):
+        table.done_.append(query)
+
+
 def _pay(
     state: HostState, query: Query, task: ShardTask, kind: FailureKind, now: float
 ) -> bool:
--- a/jackdawsill/query/tests/test_failures.py
+++ b/jackdawsill/query/tests/test_failures.py
@@ -11,6 +11,7 @@
     TimerFired,
 )
 from jackdawsill.exceptions import Outcome
+from jackdawsill.limits import AdmissionQueue
 from jackdawsill.query import NothingCovered, Overloaded
 from jackdawsill.query.tests.fakes import World, object_set
 from jackdawsill.routing import LeavingNotice
@@ -92,6 +93,26 @@
         world.run(until=world.now + 0.03)
         self.assertEqual(len(world.sent), n_sent)
 
+    def test_one_shedding_service(self):
+        """Guards against one service that delays and refuses queries to all others."""
+        world = World(object_set(10, 10, n_slots=8))
+        world.behave = lambda r, s: (
+            (0.002, FailureKind.SHED) if s.shard == "s001" else (0.01, None)
+        )
+        world.ask()
+        window = world.state.part(AdmissionQueue).groups_["g"].window
+        n_allowed = window.n_allowed()
+        for _ in range(50):
+            world.run()
+            start = world.now
+            query_id = world.ask()
+            world.run()
+        missing = world.answer_of(query_id).missing
+        self.assertEqual([(m.shard, m.reason) for m in missing], [("s001", "shed")])
+        self.assertLess(world.replies[query_id][0][0] - start, 0.1)
+        # The first sheds count, since they are no trend yet.
+        self.assertGreater(window.n_allowed(), n_allowed / 2)
+
     def test_extra_load_is_bounded(self):
         """Guards against hedges beyond the caller's budget."""
         world = World(object_set(26, 140, n_slots=40))
