Send raised refutation counts without the whole records

Cause: after a partition each host refutes once, and full records made up half of the bytes. Change: MemberChange carries counts of live incarnations; a receiver asks for the records of those that it does not know. Conclusion: most of the rest is digest exchange and evidence.

--- a/jackdawsill/membership/_exchange.py
+++ b/jackdawsill/membership/_exchange.py
@@ -157,7 +157,28 @@
             continue  # each host concludes a loss from evidence on its own
         if table.apply(record, now, link.link_id) == Applied.CONTESTED:
             effects += contest(table, link, record.incarnation)
-    return effects
+    unknown = []
+    for incarnation, refutation in message.raised.items():
+        if incarnation not in table.entries_:
+            unknown.append(incarnation)
+        elif (
+            table.raise_refutation(incarnation, refutation, now, link.link_id)
+            == Applied.CONTESTED
+        ):
+            effects += contest(table, link, incarnation)
+    return effects + request_records(link, unknown)
+
+
+def member_change(records: tuple[MemberRecord, ...]) -> MemberChange:
+    """Return the message that passes records on."""
+    raised = {
+        record.incarnation: record.refutation
+        for record in records
+        if record.refutation and record.state == MemberState.ALIVE
+    }
+    return MemberChange(
+        tuple(r for r in records if r.incarnation not in raised), raised
+    )
 
 
 @answers(Refutation)
@@ -263,7 +284,6 @@
     """Send what the peer lacks and ask for what this host lacks."""
     effects: list[Effect] = []
     wanted = []
-    newer: list[MemberRecord] = []
     for incarnation, refutation in message.live.items():
         entry = table.entries_.get(incarnation)
         if entry is None:
@@ -272,18 +292,15 @@
             table.raise_refutation(incarnation, refutation, now)
         elif entry.state != MemberState.ALIVE:
             effects += contest(table, link, incarnation)
-        elif refutation < entry.refutation:
-            newer.append(table.record_of(incarnation))
-    newer += [
-        table.record_of(incarnation)
-        for incarnation in live_in(table, message.buckets)
-        if incarnation not in message.live
-    ]
-    effects += send_records(link, newer)
-    for start in range(0, len(wanted), MAX_RECORDS):
-        request = RecordRequest(tuple(wanted[start : start + MAX_RECORDS]))
-        effects.append(SendPeer(link.link_id, request))
-    return effects
+    # The peer may hold the others lost; it asks for the records of unknown ones.
+    newer = {
+        incarnation: refutation
+        for incarnation, refutation in live_in(table, message.buckets).items()
+        if message.live.get(incarnation, -1) < refutation
+    }
+    if newer:
+        effects.append(SendPeer(link.link_id, MemberChange((), newer)))
+    return effects + request_records(link, wanted)
 
 
 @answers(RecordRequest)
@@ -301,3 +318,11 @@
         SendPeer(link.link_id, MemberChange(tuple(records[i : i + MAX_RECORDS])))
         for i in range(0, len(records), MAX_RECORDS)
     ]
+
+
+def request_records(link: Link, incarnations: list[str]) -> list[Effect]:
+    """Return the effects that ask for records in messages of bounded size."""
+    return [
+        SendPeer(link.link_id, RecordRequest(tuple(incarnations[i : i + MAX_RECORDS])))
+        for i in range(0, len(incarnations), MAX_RECORDS)
+    ]
--- a/jackdawsill/membership/_messages.py
+++ b/jackdawsill/membership/_messages.py
@@ -1,6 +1,6 @@
 """Messages of membership between hosts."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from jackdawsill.peers import PeerMessage, register_message
@@ -62,9 +62,14 @@
 @register_message("member_change")
 @dataclass(slots=True, frozen=True)
 class MemberChange(PeerMessage):
-    """Records of members that joined, left, were replaced or refuted evidence."""
+    """Records of members that joined or left, and counts that were raised.
 
-    records: tuple[MemberRecord, ...]
+    `raised` maps live incarnations to their refutation counts. Receivers know nearly
+    all of them, so their full records would double the bytes of a healed partition.
+    """
+
+    records: tuple[MemberRecord, ...] = ()
+    raised: dict[str, int] = field(default_factory=dict)
 
 
 @register_message("evidence")
--- a/jackdawsill/membership/_table.py
+++ b/jackdawsill/membership/_table.py
@@ -191,12 +191,14 @@
         self.outbox_records_.put(self.record_of(record.incarnation), source)
         return Applied.CHANGED
 
-    def raise_refutation(self, incarnation: str, refutation: int, now: float) -> None:
+    def raise_refutation(
+        self, incarnation: str, refutation: int, now: float, source: int = 0
+    ) -> Applied:
         """Take in a higher count of a known incarnation; it was alive to raise it."""
         record = self.record_of(incarnation)._replace(
             refutation=refutation, state=int(MemberState.ALIVE)
         )
-        self.apply(record, now)
+        return self.apply(record, now, source)
 
     def on_handshake(self, member: Member, refutation: int, now: float) -> Applied:
         """Take in a member that proved itself; its address has one incarnation."""
--- a/jackdawsill/membership/_upkeep.py
+++ b/jackdawsill/membership/_upkeep.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 
 from jackdawsill.core import Effect, OpenLink, ReadHostList, SendPeer
-from jackdawsill.membership._exchange import close, unregister
+from jackdawsill.membership._exchange import close, member_change, unregister
 from jackdawsill.membership._links import (
     BRIEF_S,
     HANDSHAKE_TIMEOUT_S,
@@ -14,7 +14,7 @@
     SUSPECT_AFTER_S,
     LinkState,
 )
-from jackdawsill.membership._messages import Evidence, MemberChange, Ping
+from jackdawsill.membership._messages import Evidence, Ping
 from jackdawsill.membership._model import Member, MemberState
 from jackdawsill.membership._rendezvous import choose_across_domains, rendezvous_score
 from jackdawsill.membership._table import MemberTable
@@ -84,7 +84,7 @@
         table.conclude(heard, now)
         self._confirm(table, heard, now)
         links = table.links_.values()
-        effects += table.outbox_records_.flush(links, MemberChange)
+        effects += table.outbox_records_.flush(links, member_change)
         effects += table.outbox_evidence_.flush(links, Evidence)
         if not table.leaving_:
             effects += self._dial_targets(table, next_id, now)
