--- a/jackdawsill/routing/_table.py
+++ b/jackdawsill/routing/_table.py
@@ -2,13 +2,13 @@
 
 import random
 from collections.abc import Collection, Iterable
+from dataclasses import dataclass
 
 from jackdawsill.core import FailureKind, LoadReport
 from jackdawsill.objects import ObjectSet, Replica
 from jackdawsill.routing._replica import (
     COUNTED_FAILURES,
     EJECT_AT_ONCE,
-    EJECT_MIN_S,
     LATENCY_WEIGHT,
     LEAVING_TTL_S,
     N_FAILURES_TO_EJECT,
@@ -22,6 +22,15 @@
 NOTICE_MEMORY_S = 120.0
 
 
+@dataclass(slots=True, frozen=True)
+class LeavingMark:
+    """A replica that takes no new work, with the time left in seconds."""
+
+    replica: str
+    start_id: str
+    ttl_s: float
+
+
 class ReplicaTable:
     """Choose replicas by the power of two choices (Mitzenmacher, 2001)."""
 
@@ -56,11 +65,15 @@
         If all others are ejected, the one whose backoff ends first is used: an
         attempt that may fail is better than a shard that is missing for certain.
         """
-        usable = [
-            r
-            for r in objects.replicas_by_service_.get(service, ())
-            if not r.leaving and r.name not in exclude and self.may_use(r.name, now)
-        ]
+        replicas = self.replicas_
+        usable = []
+        for replica in objects.replicas_by_service_.get(service, ()):
+            name = replica.name
+            if replica.leaving or name in exclude:
+                continue
+            seen = replicas.get(name) or self.state_of(name)
+            if not seen.flagged or seen.may_use(now):
+                usable.append(replica)
         n_usable = len(usable)
         if n_usable == 0:
             return self._pick_ejected(service, exclude, objects, now)
@@ -94,25 +107,13 @@
         It is apart from `on_answer` and `on_failure`, because ticketed requests
         report their outcomes and do not take part in this host's limits.
         """
-        seen = self.replicas_.get(replica)
-        if seen is not None and seen.in_flight > 0:
-            seen.in_flight -= 1
+        self.state_of(replica).on_ended()
 
     def on_answer(
         self, replica: str, latency_s: float, load: LoadReport | None, now: float
     ) -> None:
         """Record an answer; a replica that was ejected returns cold."""
-        seen = self.state_of(replica)
-        seen.latency_s += LATENCY_WEIGHT * (latency_s - seen.latency_s)
-        if load is not None:
-            seen.load = load.running
-            seen.load_at = now
-        seen.n_failures = 0
-        if seen.ejected_until is not None:
-            seen.ejected_until = None
-            seen.backoff_s = EJECT_MIN_S
-            seen.ramp_from = now
-            seen.flagged = True
+        self.state_of(replica).on_answer(latency_s, load, now)
 
     def on_cancelled(self, replica: str, elapsed_s: float, now: float) -> None:
         """Record a cancelled sub-request, which took at least `elapsed_s`."""
@@ -151,7 +152,20 @@
         self.remember_notice(start_id, now)
         if not 0 < ttl_s <= LEAVING_TTL_S:
             return False
-        return self.mark_leaving(replica, now, ttl_s)
+        is_first = self.mark_leaving(replica, now, ttl_s)
+        if is_first:
+            self.state_of(replica).leaving_start_id = start_id
+        return is_first
+
+    def leaving(self, now: float) -> list[LeavingMark]:
+        """Return the marks in force, for peers that have just connected."""
+        return [
+            LeavingMark(name, seen.leaving_start_id, seen.leaving_until - now)
+            for name, seen in self.replicas_.items()
+            if seen.leaving_until is not None
+            and seen.leaving_until > now
+            and seen.leaving_start_id
+        ]
 
     def remember_notice(self, start_id: str, now: float) -> None:
         """Remember a start id, and forget those that are too old."""
--- a/jackdawsill/stopping/tests/test_stopping.py
+++ b/jackdawsill/stopping/tests/test_stopping.py
@@ -11,6 +11,7 @@
     reduce,
 )
 from jackdawsill.membership import MemberTable
+from jackdawsill.peers import Decoder, encode
 from jackdawsill.spread import ConfigSpread
 from jackdawsill.stopping import Phase, Stopping, _log_events
 from jackdawsill.tickets._handover import CHUNK_BYTES
@@ -172,6 +173,36 @@
                 fleet.ask("b", self.unused, b"unused")
                 self.assertEqual(len(fleet.subs), n_delivered)
 
+    def test_crash_at_each_step(self):
+        """Guards against a second run when either side dies during a handover."""
+        for n_delivered in range(4):
+            for victim in "bc":
+                with self.subTest(n_delivered=n_delivered, victim=victim):
+                    self.setUp()
+                    fleet = self.fleet
+                    fleet.stop("a")
+                    self.deliver_chunks()
+                    # "b" holds two ledgers now, so it sends two chunks to "c".
+                    fleet.add_host("d")
+                    fleet.hosts["d"].cut = True
+                    fleet.stop("b")
+                    self.assertEqual(len(fleet.messages), 2)
+                    for _ in range(n_delivered):
+                        if fleet.messages:
+                            fleet.deliver()
+                    fleet.hosts[victim].alive = False
+                    fleet.messages.clear()
+                    fleet.hosts["d"].cut = False
+                    for body, ticket in ((b"used", self.used), (b"new", self.unused)):
+                        for name in "dbc" * 2:
+                            fleet.ask(name, ticket, body)
+                            fleet.deliver_all()
+                            while fleet.subs:
+                                fleet.answer()
+                    self.assertLessEqual(max(fleet.ran.values()), 1)
+                    installed = victim == "b" and n_delivered >= 2
+                    self.assertEqual(fleet.ran[b"new"], int(installed))
+
     def test_repeated_and_late_chunks_change_nothing(self):
         """Guards against an old copy of the window that replaces the newer one."""
         fleet = self.fleet
@@ -215,6 +246,9 @@
         """Guards against chunks that delay pings, or that drop a record."""
         fleet = self.fleet
         office = fleet.office("a")
+        for _ in range(600):
+            fleet.ask("a", fleet.ticket("a"), b"small")
+            fleet.answer()
         for _ in range(40):
             fleet.ask("a", fleet.ticket("a"), b"big")
             run = next(iter(office.runs_.values()))
@@ -225,10 +259,11 @@
         fleet.stop("a")
         chunks = [m for _, _, m in fleet.messages]
         self.assertGreater(len(chunks), 10)
-        sizes = [sum(len(r.answer) for r in c.records) for c in chunks]
-        self.assertLess(max(sizes), CHUNK_BYTES)
+        self.assertLess(max(len(encode(chunk)) for chunk in chunks), CHUNK_BYTES)
+        copies = list(Decoder().feed(b"".join(encode(chunk) for chunk in chunks)))
+        self.assertEqual(copies, chunks)
         fleet.deliver_all()
-        self.assertEqual(len(fleet.office("b").ledgers_["a"].records_), 41)
+        self.assertEqual(len(fleet.office("b").ledgers_["a"].records_), 641)
         self.assertEqual(fleet.office("b").ledgers_["a"].n_running_, 0)
 
     def test_successor_prefers_another_failure_domain(self):
--- a/jackdawsill/tickets/_runs.py
+++ b/jackdawsill/tickets/_runs.py
@@ -17,6 +17,7 @@
     caller: str
     body: bytes
     ticket: str
+    arrived_at: float
     deadline_at: float
     incarnation: str  # issuer of the ticket
     forward_id: int = 0
@@ -60,6 +61,7 @@
     shard: str = ""
     snapshot: Snapshot | None = None
     sent_at: float = 0.0
+    is_canary: bool = False  # alone on its replica, after a crash
     tried: set[str] = field(default_factory=set)
 
     def key(self) -> tuple[str, int]:
