--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -4,7 +4,7 @@
 Bytes are those of msgpack frames; TCP and kernel cost are not included. CPU is the
 time spent in the reducer and the codec, divided by hosts and virtual seconds.
 
-    python -m benchmarks.control [--sizes 18,50,100,200] [--seed 1]
+    python -m benchmarks.control [--sizes 18,50,100,200] [--seed 1] [--partition]
 """
 
 import statistics
@@ -15,12 +15,11 @@
 from typing import Any
 
 import fire
-import msgpack
-import msgspec
 
 from jackdawsill.core import reduce
 from jackdawsill.membership import MemberTable
 from jackdawsill.membership.tests.network import FakeNetwork, Node
+from jackdawsill.peers import Decoder, encode
 from jackdawsill.quarantine import Quarantine
 from jackdawsill.spread import ConfigSpread
 from jackdawsill.spread.tests.fakes import FakeService, all_at, load_bundle, make_set
@@ -28,10 +27,10 @@
 WARM_UP_S = 15.0
 STEADY_S = 30.0
 CHANGE_S = 10.0
+PARTITION_S = 60.0
 N_VALUES = 10
 VALUE_BYTES = 50_000  # a change replaces two of ten values
 N_DOMAINS = 6
-FRAME_BYTES = 4
 DESIGN_HOSTS = 730
 KB = 1000.0
 
@@ -46,17 +45,15 @@
     codec_s: float = 0.0
     by_host: Counter[str] = field(default_factory=Counter)
     by_kind: Counter[str] = field(default_factory=Counter)
+    decoder: Decoder = field(default_factory=Decoder)
 
     def on_send(self, node: Node, message: Any) -> None:
         """Encode and decode a message as the daemons would, and count it."""
         started = time.perf_counter()
-        content = msgspec.to_builtins(message, builtin_types=(bytes,))
-        frame = msgpack.packb({"kind": type(message).__name__, **content})
-        decoded = msgpack.unpackb(frame)
-        del decoded["kind"]
-        msgspec.convert(decoded, type(message), builtin_types=(bytes,))
+        frame = encode(message)
+        list(self.decoder.feed(frame))
         self.codec_s += time.perf_counter() - started
-        size = len(frame) + FRAME_BYTES
+        size = len(frame)
         self.n_messages += 1
         self.n_bytes += size
         self.by_host[node.state.name] += size
@@ -110,16 +107,7 @@
 
 def measure(n_hosts: int, seed: int) -> tuple[Row, Counter[str]]:
     """Run one fleet and return its figures and the steady bytes by message."""
-    network = FakeNetwork(seed)
-    service = FakeService(network)
-    service.publish(*make_set(1, N_VALUES, VALUE_BYTES))
-    for i in range(n_hosts):
-        parts = (ConfigSpread(load_bundle), Quarantine())
-        network.add(f"h{i}", f"d{i % N_DOMAINS}", *parts)
-    network.run(WARM_UP_S)
-    complete = all(len(n.table.live_hosts()) == n_hosts for n in network.live())
-    if not complete or not all_at(network, 1):
-        raise RuntimeError(f"the fleet of {n_hosts} did not settle")
+    network, service = start(n_hosts, seed)
     steady = Meter()
     network.on_send, network.reduce = steady.on_send, steady.reduce
     network.run(STEADY_S)
@@ -150,10 +138,66 @@
     return row, steady.by_kind
 
 
-def main(sizes: str | tuple[int, ...] = (18, 50, 100, 200), seed: int = 1) -> None:
+def start(n_hosts: int, seed: int) -> tuple[FakeNetwork, FakeService]:
+    """Return a fleet that has found one another and accepted generation 1."""
+    network = FakeNetwork(seed)
+    service = FakeService(network)
+    service.publish(*make_set(1, N_VALUES, VALUE_BYTES))
+    for i in range(n_hosts):
+        parts = (ConfigSpread(load_bundle), Quarantine())
+        network.add(f"h{i}", f"d{i % N_DOMAINS}", *parts)
+    network.run(WARM_UP_S)
+    complete = all(len(n.table.live_hosts()) == n_hosts for n in network.live())
+    if not complete or not all_at(network, 1):
+        raise RuntimeError(f"the fleet of {n_hosts} did not settle")
+    return network, service
+
+
+def measure_partition(n_hosts: int, seed: int) -> None:
+    """Print what the loss of contact between two regions costs a host."""
+    network, _ = start(n_hosts, seed)
+    domains = {f"d{i}" for i in range(N_DOMAINS // 2)}
+    cut = {
+        n.member.address for n in network.live() if n.state.failure_domain in domains
+    }
+
+    def settled(node: Node) -> bool:
+        n_live = len(node.table.live_hosts())
+        if not network.sides:
+            return n_live == n_hosts
+        return n_live == (
+            len(cut) if node.member.address in cut else n_hosts - len(cut)
+        )
+
+    for name, sides in (("cut", dict.fromkeys(cut, 1)), ("heal", {})):
+        meter = Meter()
+        network.on_send, network.reduce = meter.on_send, meter.reduce
+        network.sides, started_at = sides, network.now
+        done = network.run(
+            PARTITION_S, lambda: all(settled(node) for node in network.live())
+        )
+        settled_s = network.now - started_at
+        network.run(PARTITION_S - settled_s)
+        print(
+            f"{n_hosts} hosts, {name}: settled {done} after {settled_s:.1f} s; sent "
+            f"per host in {PARTITION_S:.0f} s: {meter.n_bytes / n_hosts / KB:.0f} KB, "
+            f"most by one host {max(meter.by_host.values()) / KB:.0f} KB",
+            flush=True,
+        )
+
+
+def main(
+    sizes: int | tuple[int, ...] = (18, 50, 100, 200),
+    seed: int = 1,
+    partition: bool = False,
+) -> None:
     """Print one line for each fleet size, the slopes and the design size."""
     if isinstance(sizes, int):
         sizes = (sizes,)
+    if partition:
+        for n_hosts in sizes:
+            measure_partition(n_hosts, seed)
+        return
     names = [f.name for f in fields(Row)]
     print(" ".join(f"{name:>16}" for name in names))
     rows: list[Row] = []
--- a/jackdawsill/membership/_handlers.py
+++ b/jackdawsill/membership/_handlers.py
@@ -19,7 +19,7 @@
 from jackdawsill.membership import _log_events as log
 from jackdawsill.membership._events import PeerDown
 from jackdawsill.membership._exchange import ANSWERS, unregister
-from jackdawsill.membership._links import LinkState
+from jackdawsill.membership._links import LinkState, make_nonce
 from jackdawsill.membership._messages import Hello, HelloProof
 from jackdawsill.membership._table import MemberTable, check_member_table
 from jackdawsill.membership._upkeep import Upkeep
@@ -80,13 +80,15 @@
     link = table.net_.links_.get(event.link_id)
     if link is not None and link.state == LinkState.CLOSING:
         return []  # given up while the stream was being opened
+    own = table.self_member
+    nonce = make_nonce(table.fleet_key, own.incarnation, event.link_id, state.rng)
     hello = table.net_.on_opened(
         event.link_id,
         event.address,
         event.outgoing,
-        table.self_member,
+        own,
         table.refutation_,
-        state.rng,
+        nonce,
         now,
     )
     return [SendPeer(event.link_id, hello)]
--- a/jackdawsill/membership/_links.py
+++ b/jackdawsill/membership/_links.py
@@ -76,6 +76,18 @@
     return hmac.new(fleet_key, text, hashlib.sha256).digest()
 
 
+def make_nonce(
+    fleet_key: bytes, incarnation: str, link_id: int, rng: random.Random
+) -> bytes:
+    """Return a nonce that does not repeat and that nobody without the key predicts.
+
+    The keyed hash is needed because `rng` may be a generator whose later output
+    follows from its earlier one.
+    """
+    text = f"nonce {incarnation} {link_id} ".encode() + rng.randbytes(NONCE_BYTES)
+    return hmac.new(fleet_key, text, hashlib.sha256).digest()[:NONCE_BYTES]
+
+
 class LinkBook:
     """Hold the streams of a host and the addresses that it may dial."""
 
@@ -139,7 +151,7 @@
         outgoing: bool,
         own: Member,
         refutation: int,
-        rng: random.Random,
+        nonce: bytes,
         now: float,
     ) -> Hello:
         """Record an open stream and return the first message for it."""
@@ -155,7 +167,7 @@
             own.address,
             own.failure_domain,
             refutation,
-            rng.randbytes(NONCE_BYTES),
+            nonce,
             link.brief and outgoing,
         )
         return link.sent
--- a/jackdawsill/spread/_joining.py
+++ b/jackdawsill/spread/_joining.py
@@ -23,7 +23,7 @@
         """Record the failure domains of the other live hosts on the list."""
         self.other_domains_ = frozenset(domains)
 
-    def enough(self, service_answered: bool, pending: bool, now: float) -> bool:
+    def enough(self, service_asked: bool, pending: bool, now: float) -> bool:
         """Tell whether the host may serve the set that it has accepted.
 
         `pending` tells that a source offered a higher generation.
@@ -40,6 +40,6 @@
         if self.domains_:
             n_wanted = min(N_JOIN_DOMAINS, len(self.other_domains_ or ()))
             heard_enough = n_wanted and len(self.domains_) >= n_wanted
-            return bool(heard_enough and service_answered) or waited_s >= JOIN_TIMEOUT_S
+            return bool(heard_enough and service_asked) or waited_s >= JOIN_TIMEOUT_S
         # No peer answered. Without a list a host waits, for others may exist.
-        return self.other_domains_ == frozenset() and service_answered
+        return self.other_domains_ == frozenset() and service_asked
--- a/jackdawsill/spread/_spread.py
+++ b/jackdawsill/spread/_spread.py
@@ -86,8 +86,10 @@
 
     def ready_to_serve(self, now: float) -> bool:
         """Tell whether the host has a set and knows enough to serve it."""
+        # A service that is down cannot tell more than the peers that answered.
+        asked = self.service_.answered_ or self.service_.failing_
         return self.accepted_ is not None and self.joining_.enough(
-            self.service_.answered_, self._higher_offered(), now
+            asked, self._higher_offered(), now
         )
 
     def _higher_offered(self) -> bool:
