Report a crash with all requests that may run on the replica

Cause: a crash is told once for each lost sub-request, so the last of them named an innocent request alone, and requests cancelled a moment earlier were not named; the quarantine then condemned an innocent request in a test.

--- a/jackdawsill/limits/_handlers.py
+++ b/jackdawsill/limits/_handlers.py
@@ -11,9 +11,7 @@
 @handles(Tick, needs=ConnectionShares)
 def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
     """Follow the view of the fleet; comparing it costs microseconds per tick."""
-    shares = state.parts_.get(ConnectionShares)
-    if shares is None:
-        return []
+    shares = state.part(ConnectionShares)
     members = state.part(MemberTable).live_hosts()
     if len(members) != len(shares.hosts_) or any(
         m.incarnation != known for m, known in zip(members, shares.hosts_, strict=True)
@@ -26,7 +24,7 @@
 @handles(SetAccepted, needs=ConnectionShares)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Take capacities from the new set."""
-    if state.objects_ is not None and ConnectionShares in state.parts_:
+    if state.objects_ is not None:
         state.part(ConnectionShares).set_objects(state.objects_)
         state.part(ConcurrencyLimits).prune(state.objects_.replicas)
         state.part(ShedWatch).prune(state.objects_.services)
--- a/jackdawsill/query/_canary.py
+++ b/jackdawsill/query/_canary.py
@@ -116,14 +116,18 @@
 def on_crash(state: HostState, sub: SubRequest, now: float, out: list[Effect]) -> None:
     """Report a crash, and retry the lost shard as a canary."""
     query = sub.query
-    mark = query.fingerprint
     table = state.part(QueryTable)
     quarantine = state.part(Quarantine)
-    flying = table.in_flight_.get(sub.replica, {})
-    fields = {"replica": sub.replica, "n_requests": len(flying) + 1}
+    marks = table.suspects(sub.replica, now)
+    for found in marks:
+        # The next report of the same crash must not name fewer requests, because
+        # a request that was alone on a crashed replica is suspected more.
+        table.linger(sub.replica, found, now)
+    fields = {"replica": sub.replica, "n_requests": len(marks)}
     out.append(LogEvent(REPLICA_CRASHED, fields))
-    marks = (mark,) if sub.is_canary else _new_suspects(state, sub, now)
-    condemned = quarantine.on_crash(sub.replica, marks, now) if marks else ()
+    condemned = quarantine.on_crash(
+        sub.replica, tuple(sorted(marks)), now, canary=sub.is_canary
+    )
     for found in condemned:
         out.append(
             LogEvent(REQUEST_CONDEMNED, {"fingerprint": found, "replica": sub.replica})
@@ -142,28 +146,6 @@
         start_canary(state, query, now, out)
 
 
-def _new_suspects(state: HostState, sub: SubRequest, now: float) -> tuple[str, ...]:
-    """Return the fingerprints in flight on a replica that are not suspected yet.
-
-    Sub-requests sent before the suspicion crash with it. They are the same
-    evidence, and only a canary's crash may condemn.
-    """
-    table = state.part(QueryTable)
-    quarantine = state.part(Quarantine)
-    flying = table.in_flight_.get(sub.replica, {})
-    marks = {sub.query.fingerprint}
-    marks.update(other.query.fingerprint for other in flying.values())
-    return tuple(
-        sorted(
-            mark
-            for mark in marks
-            if mark not in table.canaries_
-            and mark not in table.stalled_
-            and quarantine.check(mark, now) is Verdict.CLEAR
-        )
-    )
-
-
 def _on_canary_crashed(
     state: HostState, query: Query, task: ShardTask, now: float, out: list[Effect]
 ) -> None:
@@ -191,6 +173,7 @@
 ) -> tuple[ShardTask, Replica] | None:
     """Return a held shard and a replica, the least busy outside lost domains."""
     routing = state.part(ReplicaTable)
+    table = state.part(QueryTable)
     best = None
     best_key = None
     for task in query.held[:N_CANDIDATES]:
@@ -201,7 +184,10 @@
             usable = routing.usable(service, exclude, state.objects_, now)
         for replica in usable:
             in_flight = routing.state_of(replica.name).in_flight
-            key = (replica.failure_domain in query.crash_domains, in_flight)
+            # A crash shows little while something else may still run there.
+            others = table.suspects(replica.name, now) - {query.fingerprint}
+            in_lost_domain = replica.failure_domain in query.crash_domains
+            key = (in_lost_domain, in_flight + len(others))
             if best_key is None or key < best_key:
                 best, best_key = (task, replica), key
         if best_key == (False, 0):
--- a/jackdawsill/query/_cancel.py
+++ b/jackdawsill/query/_cancel.py
@@ -10,9 +10,10 @@
     state: HostState, sub: SubRequest, now: float, out: list[Effect]
 ) -> None:
     """Cancel a sub-request by message; a late answer to it is discarded."""
-    state.part(QueryTable).remove_sub(sub)
+    table = state.part(QueryTable)
+    table.remove_sub(sub)
+    table.linger(sub.replica, sub.query.fingerprint, now)
     routing = state.part(ReplicaTable)
-    routing.on_ended(sub.replica)
     elapsed_s = now - sub.sent_at
     query = sub.query
     if now >= query.cutoff_at and 2 * elapsed_s >= now - query.arrived_at:
--- a/jackdawsill/query/_handlers.py
+++ b/jackdawsill/query/_handlers.py
@@ -14,7 +14,7 @@
 )
 from jackdawsill.limits import AdmissionQueue
 from jackdawsill.query._admit import admit, apply_released
-from jackdawsill.query._canary import start_same
+from jackdawsill.query._canary import on_replica_idle, start_same
 from jackdawsill.query._deliver import finish, forget
 from jackdawsill.query._events import QueryExpired, QueryStarted
 from jackdawsill.query._hedge import hedge
@@ -22,6 +22,7 @@
 from jackdawsill.query._start import start
 from jackdawsill.query._table import QueryTable
 from jackdawsill.query._wait import on_answered, on_failed, release_shed
+from jackdawsill.routing import ReplicaTable
 from jackdawsill.stopping import InHand, register_in_hand
 
 TIMER_PREFIX = "query:"
@@ -117,10 +118,16 @@
     """Look again at shards that wait; costs nothing when none does."""
     table = state.part(QueryTable)
     out: list[Effect] = []
+    if table.lingering_:
+        table.expire(now)
     if table.shed_:
         release_shed(state, now, out)
     for service in tuple(table.waiting_):
         release_waiting(state, service, now, out)
+    for replica in tuple(table.reserved_):
+        # A ticketed request may have been the last one in flight there.
+        if not state.part(ReplicaTable).state_of(replica).in_flight:
+            on_replica_idle(state, replica, now, out)
     for mark in tuple(table.stalled_):
         del table.stalled_[mark]
         start_same(state, mark, now, out)
--- a/jackdawsill/query/_table.py
+++ b/jackdawsill/query/_table.py
@@ -6,6 +6,11 @@
 Parked = dict[str, dict[ShardTask, Query]]
 
 
+# A cancelled or timed-out sub-request may still run for this time, and the crash of
+# a replica is reported once for each sub-request that was in flight there.
+LINGER_S = 1.0
+
+
 class QueryTable:
     """Own all running queries; an ended query leaves nothing behind."""
 
@@ -14,6 +19,7 @@
         "canaries_",
         "done_",
         "in_flight_",
+        "lingering_",
         "prefix_",
         "queries_",
         "reserved_",
@@ -29,6 +35,9 @@
         self.subs_: dict[int, SubRequest] = {}
         # replica -> sub-requests in flight there
         self.in_flight_: dict[str, dict[int, SubRequest]] = {}
+        # replica -> fingerprints that may run there besides those in flight, with
+        # the time until which they may be the cause of a crash
+        self.lingering_: dict[str, dict[str, float]] = {}
         self.by_fingerprint_: dict[str, dict[int, Query]] = {}
         # fingerprint -> query whose canary is in flight or waits for its replica
         self.canaries_: dict[str, Query] = {}
@@ -84,6 +93,26 @@
             del self.in_flight_[sub.replica]
         sub.task.subs.remove(sub)
 
+    def linger(self, replica: str, mark: str, now: float) -> None:
+        """Remember that a fingerprint may still run on a replica."""
+        self.lingering_.setdefault(replica, {})[mark] = now + LINGER_S
+
+    def suspects(self, replica: str, now: float) -> set[str]:
+        """Return the fingerprints that may have caused a crash of a replica."""
+        flying = self.in_flight_.get(replica, {})
+        marks = {sub.query.fingerprint for sub in flying.values()}
+        lingering = self.lingering_.get(replica, {})
+        marks.update(mark for mark, until in lingering.items() if now < until)
+        return marks
+
+    def expire(self, now: float) -> None:
+        """Forget the fingerprints that no longer run."""
+        for replica, lingering in tuple(self.lingering_.items()):
+            for mark in [m for m, until in lingering.items() if now >= until]:
+                del lingering[mark]
+            if not lingering:
+                del self.lingering_[replica]
+
     def close(self, query: Query, task: ShardTask, reason: str = "") -> None:
         """Decide a shard; without its items, `reason` says why it is missing."""
         if reason:
@@ -109,7 +138,10 @@
             del parked[service]
 
     def is_empty(self) -> bool:
-        """Tell whether nothing is kept for any query."""
+        """Tell whether nothing is kept for any query.
+
+        Fingerprints that may still run belong to replicas and expire by time.
+        """
         return not (
             self.queries_
             or self.subs_
--- a/jackdawsill/query/_wait.py
+++ b/jackdawsill/query/_wait.py
@@ -89,6 +89,8 @@
     if kind in NOT_RUN_KINDS:
         query.n_not_run += 1
     task.reason = kind
+    if kind in (FailureKind.TIMEOUT, FailureKind.CRASH):
+        table.linger(sub.replica, query.fingerprint, now)
     out.append(Count("sub_requests_failed", 1.0, (("kind", kind.value),)))
     _learn_failure(state, sub, event, now, out)
     if kind is FailureKind.CRASH:
@@ -162,7 +164,6 @@
     replica, kind, query = sub.replica, event.kind, sub.query
     service = sub.task.shard.service
     routing = state.part(ReplicaTable)
-    routing.on_ended(replica)
     backoff_s = routing.on_failure(replica, kind, now)
     if backoff_s:
         fields = {"replica": replica, "kind": kind.value, "backoff_s": backoff_s}
--- a/jackdawsill/routing/_handlers.py
+++ b/jackdawsill/routing/_handlers.py
@@ -45,9 +45,7 @@
         return []
     if state.objects_ is None or notice.replica not in state.objects_.replicas:
         return []
-    table = state.parts_.get(ReplicaTable)
-    if table is None:
-        return []
+    table = state.part(ReplicaTable)
     if not table.on_notice(notice.replica, notice.start_id, notice.ttl_s, now):
         return []
     return [
@@ -59,6 +57,6 @@
 @handles(SetAccepted, needs=ReplicaTable)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Forget replicas that the new set does not contain."""
-    if state.objects_ is not None and ReplicaTable in state.parts_:
+    if state.objects_ is not None:
         state.part(ReplicaTable).prune(state.objects_.replicas)
     return []
--- a/jackdawsill/snapshots/_handlers.py
+++ b/jackdawsill/snapshots/_handlers.py
@@ -35,9 +35,7 @@
     notice = event.message
     if not isinstance(notice, ServableNotice) or state.objects_ is None:
         return []
-    table = state.parts_.get(SnapshotTable)
-    if table is None:
-        return []
+    table = state.part(SnapshotTable)
     if not table.on_notice(notice.group, notice.snapshot, state.objects_, now):
         return []
     fields = {"group": notice.group, "snapshot": notice.snapshot}
@@ -50,6 +48,6 @@
 @handles(SetAccepted, needs=SnapshotTable)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Forget snapshots that the new set does not publish."""
-    if state.objects_ is not None and SnapshotTable in state.parts_:
+    if state.objects_ is not None:
         state.part(SnapshotTable).prune(state.objects_)
     return []
