--- a/jackdawsill/query/_cancel.py
+++ b/jackdawsill/query/_cancel.py
@@ -14,6 +14,7 @@
     table.remove_sub(sub)
     table.linger(sub.replica, sub.query.fingerprint, now)
     routing = state.part(ReplicaTable)
+    routing.on_ended(sub.replica)
     elapsed_s = now - sub.sent_at
     query = sub.query
     if now >= query.cutoff_at and 2 * elapsed_s >= now - query.arrived_at:
--- a/jackdawsill/query/_wait.py
+++ b/jackdawsill/query/_wait.py
@@ -164,6 +164,7 @@
     replica, kind, query = sub.replica, event.kind, sub.query
     service = sub.task.shard.service
     routing = state.part(ReplicaTable)
+    routing.on_ended(replica)
     backoff_s = routing.on_failure(replica, kind, now)
     if backoff_s:
         fields = {"replica": replica, "kind": kind.value, "backoff_s": backoff_s}
--- a/jackdawsill/routing/_table.py
+++ b/jackdawsill/routing/_table.py
@@ -101,25 +101,29 @@
         """Count a sub-request in flight."""
         self.state_of(replica).in_flight += 1
 
+    def on_ended(self, replica: str) -> None:
+        """Count the end of a sub-request in flight, whatever its outcome was.
+
+        It is apart from `on_answer` and `on_failure`, because a sub-request whose
+        outcome is never told ends as well.
+        """
+        self.state_of(replica).on_ended()
+
     def on_answer(
         self, replica: str, latency_s: float, load: LoadReport | None, now: float
     ) -> None:
         """Record an answer; a replica that was ejected returns cold."""
-        seen = self.state_of(replica)
-        seen.on_ended()
-        seen.on_answer(latency_s, load, now)
+        self.state_of(replica).on_answer(latency_s, load, now)
 
     def on_cancelled(self, replica: str, elapsed_s: float, now: float) -> None:
         """Record a cancelled sub-request, which took at least `elapsed_s`."""
         seen = self.state_of(replica)
-        seen.on_ended()
         if elapsed_s > seen.latency_s:
             seen.latency_s += LATENCY_WEIGHT * (elapsed_s - seen.latency_s)
 
     def on_failure(self, replica: str, kind: FailureKind, now: float) -> float:
         """Record a failure; return the backoff in seconds if it ejects, else 0."""
         seen = self.state_of(replica)
-        seen.on_ended()
         if kind in COUNTED_FAILURES:
             seen.n_failures += 1
         elif kind not in EJECT_AT_ONCE:
--- a/jackdawsill/routing/tests/test_table.py
+++ b/jackdawsill/routing/tests/test_table.py
@@ -64,6 +64,7 @@
         self.assertTrue(self.table.may_use("r0", later))
         self.table.on_sent("r0", later)
         self.assertFalse(self.table.may_use("r0", later))
+        self.table.on_ended("r0")
         self.table.on_answer("r0", 0.02, None, later)
         ramped = self.shares(later + 0.1)["r0"]
         self.assertTrue(0 < ramped < 80, ramped)
