--- a/jackdawsill/routing/_handlers.py
+++ b/jackdawsill/routing/_handlers.py
@@ -71,6 +71,6 @@
 @handles(SetAccepted, needs=ReplicaTable)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Forget replicas that the new set does not contain."""
-    if state.objects_ is not None and ReplicaTable in state.parts_:
+    if state.objects_ is not None:
         state.part(ReplicaTable).prune(state.objects_.replicas)
     return []
