Export metrics as the settings say

The daemon kept plain sums of its own. Count and Observe now go to the instruments of jackdawsill.metrics, scraped or pushed; the exporter is closed in a thread with a limit, since it blocks while its endpoint does not answer.

--- a/jackdawsill/daemon/_process.py
+++ b/jackdawsill/daemon/_process.py
@@ -32,8 +32,8 @@
 from jackdawsill.daemon._http_server import listening_socket
 from jackdawsill.daemon._links import LinkSet
 from jackdawsill.daemon._log_events import BAD_ANSWER, STARTED, STOPPED
+from jackdawsill.daemon._metrics import close_metrics, make_metrics
 from jackdawsill.daemon._operator_server import OperatorServer
-from jackdawsill.daemon._plain_metrics import PlainMetrics
 from jackdawsill.daemon._platform import PlatformReader
 from jackdawsill.settings import Settings
 
@@ -55,7 +55,7 @@
         self.rng = rng or random.Random()
         self.state = state
         self.exited = asyncio.Event()
-        self.metrics = PlainMetrics()
+        self.metrics = make_metrics(cfg)
         self._ending: asyncio.Task | None = None
         self._started = False
         self._running = False
@@ -129,6 +129,7 @@
         await self.backends.stop()
         await self.platform.stop()
         await self.operators.http.stop()
+        await close_metrics(self.metrics)
         self.driver.log(STOPPED, name=self.state.name)
         self.exited.set()
 
--- a/jackdawsill/daemon/tests/test_bad_input.py
+++ b/jackdawsill/daemon/tests/test_bad_input.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from jackdawsill.core import Count
 from jackdawsill.daemon._http_server import MAX_BODY_BYTES
 from jackdawsill.daemon.tests._fixtures import WAIT_S, HostCase
 
@@ -117,6 +118,12 @@
         self.assertEqual(status, 200)
         self.assertEqual(content["object"]["service"], "archivo-00")
 
+    async def test_burn(self):
+        """Guards against a burn report that cannot be encoded."""
+        status, content = await self.get("/burn")
+        self.assertEqual(status, 200)
+        self.assertEqual(content["host"], "h1")
+
     async def test_unknown_views_are_typed(self):
         """Guards against a lookup that fails without a code."""
         for path in ("/explain/replica/none", "/explain/dragon/x", "/none"):
@@ -125,7 +132,10 @@
 
     async def test_metrics_and_health(self):
         """Guards against a scrape or a health check that fails on a ready host."""
-        await self.query()
-        self.assertEqual((await self.get("/metrics"))[0], 200)
+        count = Count("queries_refused", 2.0, (("error", "Overloaded"),))
+        self.host.driver.actions[Count](count)
+        status, text = await self.get("/metrics")
+        self.assertEqual(status, 200)
+        self.assertIn('queries_refused_total{error="Overloaded"} 2.0', text)
         async with self.session.get("/healthz") as resp:
             self.assertEqual(resp.status, 200)
