--- a/jackdawsill/daemon/_log_events.py
+++ b/jackdawsill/daemon/_log_events.py
@@ -56,6 +56,12 @@
     "The platform's host list did not answer or its answer did not check.",
     logbook.WARNING,
 )
+HOST_LIST_BACK = register_log_event(
+    5012,
+    "host-list-back",
+    "host list is read again",
+    "The platform's host list answers after failed reads.",
+)
 NO_REPLY = register_log_event(
     5008,
     "no-reply",
--- a/jackdawsill/daemon/_main.py
+++ b/jackdawsill/daemon/_main.py
@@ -8,6 +8,7 @@
 
 import logbook
 import uvloop
+from logbook.compat import redirected_logging
 
 from jackdawsill.daemon._log_events import START_FAILED
 from jackdawsill.daemon._process import HostProcess
@@ -69,6 +70,7 @@
     if args.check_settings:
         print(f"{args.settings}: valid, host {cfg.host.name}")
         return EXIT_OK
-    with log_handler(cfg.logs).applicationbound():
+    # Libraries log through the standard library; their lines take the same form.
+    with log_handler(cfg.logs).applicationbound(), redirected_logging():
         log_event(SETTINGS_LOADED, file=args.settings, host=cfg.host.name)
         return uvloop.run(run_host(cfg))
--- a/jackdawsill/daemon/_platform.py
+++ b/jackdawsill/daemon/_platform.py
@@ -16,7 +16,7 @@
 )
 from jackdawsill.daemon._bodies import read_limited
 from jackdawsill.daemon._driver import Driver
-from jackdawsill.daemon._log_events import HOST_LIST_FAILED
+from jackdawsill.daemon._log_events import HOST_LIST_BACK, HOST_LIST_FAILED
 
 MAX_VALUE_BYTES = 1024 * 1024
 # A list entry takes about 150 bytes; 4 MB hold over 20,000 hosts.
@@ -38,6 +38,7 @@
         self.driver = driver
         self.config_url = config_url.rstrip("/")
         self.host_list_url = host_list_url  # of the list itself
+        self._list_failing = False
         self._session: aiohttp.ClientSession | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -104,8 +105,14 @@
                 raise ValueError(f"status {status}")
             entries = _HOSTS.decode(body)
         except (*_FAULTS, msgspec.DecodeError, RecursionError) as exc:
-            self.driver.log(HOST_LIST_FAILED, detail=repr(exc)[:200])
+            # Only changes are logged, since the list may be away for long.
+            if not self._list_failing:
+                self.driver.log(HOST_LIST_FAILED, detail=repr(exc)[:200])
+            self._list_failing = True
             return
+        if self._list_failing:
+            self.driver.log(HOST_LIST_BACK)
+        self._list_failing = False
         self.driver.feed(HostListRead(entries))
 
     async def _get(
