Compare differing views at most twice a second

Cause: when regions meet again, each new link compared the same hundreds of differences. Change: a host answers with its buckets at most every 0.5 s.

--- a/jackdawsill/membership/_exchange.py
+++ b/jackdawsill/membership/_exchange.py
@@ -30,6 +30,10 @@
 
 MAX_RECORDS = 200  # records in one message, about 20 KB
 
+# While regions meet again every exchange finds the same hundreds of differences, which
+# are already on their way; a host compares them with a few others only.
+DETAIL_S = 0.5
+
 Answer = Callable[[MemberTable, Link, PeerMessage, float], list[Effect]]
 ANSWERS: dict[type[PeerMessage], Answer] = {}
 
@@ -234,8 +238,11 @@
             SendPeer(link.link_id, tombstone)
             for tombstone in table.tombstones_.messages(now)
         ]
+    differs = message.digest != own.digest and now >= table.detail_at_
+    if differs:
+        table.detail_at_ = now + DETAIL_S
     reply = DigestReply(
-        () if message.digest == own.digest else tuple(table.buckets_),
+        tuple(table.buckets_) if differs else (),
         link.peer in table.members_,
         own.generation,
         own.set_digest,
--- a/jackdawsill/membership/_table.py
+++ b/jackdawsill/membership/_table.py
@@ -55,6 +55,7 @@
         "advert_",
         "buckets_",
         "confirmed_",
+        "detail_at_",
         "entries_",
         "evidence_",
         "fleet_key",
@@ -97,6 +98,7 @@
         self.leaving_ = False
         self.confirmed_ = False  # a peer confirmed this host since its last pause
         self.n_pauses_ = 0
+        self.detail_at_ = 0.0  # when the next difference may be compared
         self.advert_ = Advert()
         self.evidence_ = EvidenceBook()
         self.tombstones_ = Tombstones()
