--- a/jackdawsill/daemon/tests/test_process.py
+++ b/jackdawsill/daemon/tests/test_process.py
@@ -12,6 +12,8 @@
     SubAnswered,
 )
 from jackdawsill.daemon.tests._fixtures import WAIT_S, HostCase
+from jackdawsill.daemon.tests._scatter import TOKEN
+from jackdawsill.settings import LimitSettings
 from jackdawsill.standins import Wrong
 
 
@@ -75,6 +77,38 @@
         HANDLERS[QueryArrived] = [self.scatter.on_query]
         self.assertEqual((await self.query())[0], 200)
 
+    async def test_request_without_reply_is_answered(self):
+        """Guards against a caller that waits for ever for a lost reply."""
+        HANDLERS[QueryArrived] = [lambda state, event, now: []]
+        self.host.callers.reply_limit_s = 0.01
+        status, answer = await asyncio.wait_for(self.query(), WAIT_S)
+        self.assertEqual(status, 504)
+        self.assertEqual(answer["error"]["outcome"], "outcome_unknown")
+
+    async def test_full_host_refuses(self):
+        """Guards against requests in hand without bound."""
+        self.host.callers.limits = LimitSettings(
+            max_running_queries=1, max_queued_queries=0
+        )
+        gate = self.backends[0].gate = asyncio.Event()
+        task = asyncio.create_task(self.query())
+        await asyncio.wait_for(self.backends[0].arrived.wait(), WAIT_S)
+        status, answer = await self.query()
+        self.assertEqual((status, answer["error"]["name"]), (429, "HostBusy"))
+        self.assertEqual(answer["error"]["outcome"], "not_run")
+        gate.set()
+        self.assertEqual((await task)[0], 200)
+
+    async def test_host_that_is_not_ready_closes_connections(self):
+        """Guards against callers that keep connections to a host that stops."""
+        url = "/v1/query/dielines"
+        headers = {"Authorization": f"Bearer {TOKEN}"}
+        for ready, connection in ((True, "keep-alive"), (False, "close")):
+            self.host.callers.ready_ = ready
+            async with self.session.post(url, data=b"{}", headers=headers) as resp:
+                self.assertEqual(resp.status, 200)
+                self.assertEqual(resp.headers["Connection"], connection)
+
 
 class TestStop(HostCase):
     """Guards against requests that a stop cuts off."""
