--- a/jackdawsill/query/_wait.py
+++ b/jackdawsill/query/_wait.py
@@ -89,6 +89,8 @@
     if kind in NOT_RUN_KINDS:
         query.n_not_run += 1
     task.reason = kind
+    if kind in (FailureKind.TIMEOUT, FailureKind.CRASH):
+        table.linger(sub.replica, query.fingerprint, now)
     out.append(Count("sub_requests_failed", 1.0, (("kind", kind.value),)))
     _learn_failure(state, sub, event, now, out)
     if kind is FailureKind.CRASH:
