--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -2,7 +2,7 @@
 
 All hosts run in one process on the in-memory network of the tests, in virtual time.
 Bytes are those of msgpack frames; TCP and kernel cost are not included. CPU is the
-time spent in the reducer and the codec, divided by hosts and virtual seconds.
+process time spent in the reducer and the codec, divided by hosts and virtual seconds.
 
     python -m benchmarks.control [--sizes 18,50,100,200] [--seed 1] [--partition]
 """
@@ -49,10 +49,10 @@
 
     def on_send(self, node: Node, message: Any) -> None:
         """Encode and decode a message as the daemons would, and count it."""
-        started = time.perf_counter()
+        started = time.process_time()
         frame = encode(message)
         list(self.decoder.feed(frame))
-        self.codec_s += time.perf_counter() - started
+        self.codec_s += time.process_time() - started
         size = len(frame)
         self.n_messages += 1
         self.n_bytes += size
@@ -61,9 +61,9 @@
 
     def reduce(self, state: Any, event: Any, now: float) -> Any:
         """Run the reducer and add its time."""
-        started = time.perf_counter()
+        started = time.process_time()
         effects = reduce(state, event, now)
-        self.reduce_s += time.perf_counter() - started
+        self.reduce_s += time.process_time() - started
         return effects
 
 
--- a/benchmarks/reducer.py
+++ b/benchmarks/reducer.py
@@ -9,6 +9,7 @@
 import pstats
 import sys
 import time
+from collections.abc import Callable
 
 from jackdawsill.core import (
     Deliver,
@@ -35,17 +36,20 @@
 class Clock:
     """Add up the time spent in the reducer."""
 
-    def __init__(self, state: HostState) -> None:
+    def __init__(
+        self, state: HostState, timer: Callable[[], float] = time.perf_counter
+    ) -> None:
         self.state = state
+        self.timer = timer
         self.spent_s = 0.0
         self.now = 100.0
         self.n_subs = 0
 
     def feed(self, event) -> list:
         """Pass an event to the reducer; return the effects."""
-        start = time.perf_counter()
+        start = self.timer()
         effects = reduce(self.state, event, self.now)
-        self.spent_s += time.perf_counter() - start
+        self.spent_s += self.timer() - start
         return effects
 
 
@@ -101,10 +105,15 @@
     assert replies == 1, replies
 
 
-def measure(name: str, n_slow: int, n_shed: int) -> None:
-    """Print the cost of one kind of query."""
-    world = World(object_set(N_SERVICES, N_SHARDS, n_slots=8))
-    clock = Clock(world.state)
+def cost(
+    n_slow: int,
+    n_shed: int,
+    n_shards: int = N_SHARDS,
+    timer: Callable[[], float] = time.perf_counter,
+) -> tuple[float, float]:
+    """Return the microseconds per sub-request and per query of one kind of query."""
+    world = World(object_set(N_SERVICES, n_shards, n_slots=8))
+    clock = Clock(world.state, timer)
     for i in range(N_WARM_UP):
         run_query(clock, i + 1, n_slow, n_shed)
     clock.spent_s, clock.n_subs = 0.0, 0
@@ -112,8 +121,12 @@
     for i in range(N_QUERIES):
         run_query(clock, N_WARM_UP + i + 1, n_slow, n_shed)
     assert world.table.is_empty()
-    cost_us = clock.spent_s / clock.n_subs * 1e6
-    query_us = clock.spent_s / N_QUERIES * 1e6
+    return clock.spent_s / clock.n_subs * 1e6, clock.spent_s / N_QUERIES * 1e6
+
+
+def measure(name: str, n_slow: int, n_shed: int) -> None:
+    """Print the cost of one kind of query."""
+    cost_us, query_us = cost(n_slow, n_shed)
     print(f"{name:24} {cost_us:6.1f} us per sub-request, {query_us:7.0f} us a query")
 
 
--- a/benchmarks/tickets.py
+++ b/benchmarks/tickets.py
@@ -58,7 +58,7 @@
     return (time.process_time() - began) / n * 1e6
 
 
-def measure_office() -> dict[str, float]:
+def measure_office(n_requests: int = N_REQUESTS) -> dict[str, float]:
     """Measure issue, spend with its answer, and resend at one host."""
     fleet = Fleet("a")
     state = fleet.hosts["a"].state
@@ -78,9 +78,9 @@
         fleet.ask("a", tickets[-1 - i % 1000], BODY)
 
     return {
-        "issue_us": cpu_us(issue, N_REQUESTS),
-        "spend_us": cpu_us(spend, N_REQUESTS),
-        "resend_us": cpu_us(resend, N_REQUESTS),
+        "issue_us": cpu_us(issue, n_requests),
+        "spend_us": cpu_us(spend, n_requests),
+        "resend_us": cpu_us(resend, n_requests),
     }
 
 
