Export the daemon's metrics through Instruments

Cause: the daemon kept counters in a plain class and ignored the section [metrics] of its settings, so nothing could be pushed or switched off.

--- a/jackdawsill/daemon/_process.py
+++ b/jackdawsill/daemon/_process.py
@@ -25,7 +25,7 @@
 )
 from jackdawsill.daemon._addresses import join_address
 from jackdawsill.daemon._backend_client import BackendClient, Outcome
-from jackdawsill.daemon._build import build_state
+from jackdawsill.daemon._build import build_instruments, build_state
 from jackdawsill.daemon._caller_server import CallerServer
 from jackdawsill.daemon._driver import Driver
 from jackdawsill.daemon._errors import HostStopped
@@ -33,7 +33,6 @@
 from jackdawsill.daemon._links import LinkSet
 from jackdawsill.daemon._log_events import BAD_ANSWER, STARTED, STOPPED
 from jackdawsill.daemon._operator_server import OperatorServer
-from jackdawsill.daemon._plain_metrics import PlainMetrics
 from jackdawsill.daemon._platform import PlatformReader
 from jackdawsill.settings import Settings
 
@@ -55,7 +54,7 @@
         self.rng = rng or random.Random()
         self.state = state
         self.exited = asyncio.Event()
-        self.metrics = PlainMetrics()
+        self.metrics = build_instruments(cfg)
         self._ending: asyncio.Task | None = None
         self._started = False
         self._running = False
@@ -129,6 +128,8 @@
         await self.backends.stop()
         await self.platform.stop()
         await self.operators.http.stop()
+        # The last push waits for an endpoint, so it runs in another thread.
+        await asyncio.to_thread(self.metrics.close)
         self.driver.log(STOPPED, name=self.state.name)
         self.exited.set()
 
