Explain routes, callers, replicas and fingerprints to operators

Change: each subpackage registers its own views; they read state without changing marks. core.seconds_left is the common form of a mark's remaining time. Conclusion: the treatment of each object is readable at the operators' port.

--- a/jackdawsill/core/__init__.py
+++ b/jackdawsill/core/__init__.py
@@ -63,6 +63,7 @@
     explain,
     explains,
     report,
+    seconds_left,
     status,
     status_section,
 )
@@ -124,6 +125,7 @@
     "handles",
     "reduce",
     "report",
+    "seconds_left",
     "status",
     "status_section",
 ]
--- a/jackdawsill/core/_views.py
+++ b/jackdawsill/core/_views.py
@@ -14,6 +14,11 @@
 EXPLAINS: dict[str, dict[str, ExplainView]] = {}
 
 
+def seconds_left(until: float | None, now: float) -> float | None:
+    """Return the seconds that a mark still holds; None without a mark."""
+    return None if until is None else round(max(0.0, until - now), 3)
+
+
 def _add(views: dict[str, Any], name: str, view: Any) -> None:
     """Add a view under a name that is not taken."""
     if name in views:
--- a/jackdawsill/daemon/_build.py
+++ b/jackdawsill/daemon/_build.py
@@ -6,6 +6,7 @@
 from jackdawsill.core import HostState
 from jackdawsill.daemon._addresses import join_address
 from jackdawsill.membership import Member
+from jackdawsill.metrics import Instruments, MetricsMode, MetricsSettings
 from jackdawsill.objects import load_bundle
 from jackdawsill.settings import Settings
 
@@ -26,3 +27,16 @@
     )
     seeds = tuple(str(seed) for seed in cfg.platform.seeds)
     return assemble_host(member, rng, load_bundle, host.fleet_key.encode(), seeds)
+
+
+def build_instruments(cfg: Settings) -> Instruments:
+    """Return the metrics of a process, scraped or pushed as the settings say."""
+    metrics = cfg.metrics
+    return Instruments(
+        MetricsSettings(
+            mode=MetricsMode(metrics.mode),
+            push_url=metrics.push_url or "",
+            push_interval_s=metrics.push_interval_s,
+            host=cfg.host.name,
+        )
+    )
--- /dev/null
+++ b/jackdawsill/daemon/tests/test_views.py
@@ -0,0 +1,110 @@
+"""Tests of the views that operators get of a host."""
+
+import json
+import random
+import unittest
+from pathlib import Path
+
+from jackdawsill.assembly import assemble_host, new_incarnation
+from jackdawsill.core import Count, FailureKind, SetAccepted, explain, reduce, status
+from jackdawsill.daemon import _views  # noqa: F401
+from jackdawsill.daemon._build import build_instruments
+from jackdawsill.daemon.tests._fixtures import settings
+from jackdawsill.limits import ConcurrencyLimits, ConnectionShares
+from jackdawsill.membership import Member
+from jackdawsill.objects import check_set, load_bundle
+from jackdawsill.quarantine import Quarantine
+from jackdawsill.routing import LEAVING_TTL_S, RAMP_S, ReplicaTable
+from jackdawsill.settings import MetricsMode, MetricsSettings, Settings
+
+ENVASES = Path(__file__).parents[3] / "examples" / "envases"
+
+
+class TestViews(unittest.TestCase):
+    """Guards against reasons that operators cannot see, or that are not true."""
+
+    def setUp(self):
+        rng = random.Random(1)
+        member = Member(new_incarnation(rng), "h1", "127.0.0.1:1", "bogota")
+        self.state = assemble_host(member, rng, load_bundle, b"k" * 16)
+        self.state.objects_ = check_set(ENVASES).objects
+        reduce(self.state, SetAccepted(1, "d"), 0.0)
+        self.table = self.state.part(ReplicaTable)
+
+    def replica(self, now):
+        """Return what is explained of one replica."""
+        return explain(self.state, "replica", "archivo-01-a", now)
+
+    def test_status_is_json(self):
+        """Guards against a section that cannot be sent, as an infinite time is not."""
+        self.table.mark_leaving("archivo-01-a", 0.0)
+        content = status(self.state, 1.0)
+        json.dumps(content, allow_nan=False)
+        self.assertEqual(
+            content["replicas"]["not_as_usual"],
+            [{"replica": "archivo-01-a", "treatment": "no new work: it is leaving"}],
+        )
+
+    def test_draining_and_ramp(self):
+        """Guards against a draining mark or ramp that a view changes or hides."""
+        self.table.mark_leaving("archivo-01-a", 0.0)
+        seen = self.replica(1.0)["observed"]
+        self.assertEqual(seen["draining_for_s"], LEAVING_TTL_S - 1.0)
+        after_s = LEAVING_TTL_S + 1.0
+        self.replica(after_s)
+        self.assertIsNone(self.table.replicas_["archivo-01-a"].ramp_from)
+        self.assertTrue(self.table.may_use("archivo-01-a", after_s))
+        seen = self.replica(after_s + RAMP_S / 2)["observed"]
+        self.assertEqual(seen["treatment"], "ramped: it returned cold")
+        self.assertEqual(seen["ramp_fraction"], 0.55)
+
+    def test_ejection_share_and_limit(self):
+        """Guards against limits that differ from those in use."""
+        self.table.on_failure("archivo-01-a", FailureKind.CRASH, 0.0)
+        self.state.part(ConnectionShares).on_cap_refused("archivo-01-a", 0.0)
+        self.state.part(ConcurrencyLimits).on_shed("archivo-01-a", 2, 0.0)
+        found = self.replica(0.1)
+        self.assertEqual(found["observed"]["ejected_for_s"], 0.4)
+        limits = found["limits"]
+        self.assertEqual((limits["connection_share"], limits["full_share"]), (20, 40))
+        self.assertEqual(limits["concurrency_limit"], 1.4)
+        self.assertEqual(found["hedging"]["source"], "default")
+
+    def test_entitlement(self):
+        """Guards against a reason that contradicts the admission."""
+        routes = explain(self.state, "caller", "imprenta-andina", 0.0)
+        rows = {row["route"]: row for row in routes["entitlement"]["routes"]}
+        self.assertEqual(rows["proof-search"]["sees"], "approved-proof")
+        self.assertFalse(rows["dieline-search"]["may_query"])
+        route = explain(self.state, "route", "print-order", 0.0)["entitlement"]
+        self.assertEqual(
+            [(row["caller"], row["because"]) for row in route["callers"]],
+            [(f"account-desk-{c}", "the route names it") for c in ("bogota", "cali")],
+        )
+
+    def test_fingerprint(self):
+        """Guards against a condemned request that operators cannot look up."""
+        quarantine = self.state.part(Quarantine)
+        self.assertIsNone(explain(self.state, "fingerprint", "f", 0.0))
+        quarantine.on_crash("archivo-01-a", ("f",), 0.0)
+        found = explain(self.state, "fingerprint", "f", 1.0)["quarantine"]
+        self.assertEqual(found["verdict"], "suspect")
+        self.assertEqual(found["crashes"][0]["replica"], "archivo-01-a")
+        quarantine.on_crash("archivo-02-b", ("f",), 1.0)
+        found = explain(self.state, "fingerprint", "f", 1.0)["quarantine"]
+        self.assertEqual(found["treatment"], "refused with JDS-2007")
+
+
+class TestMetricsSettings(unittest.TestCase):
+    """Guards against a section of the settings file that has no effect."""
+
+    def test_modes(self):
+        """Guards against metrics that are scraped although they are off."""
+        base = settings()
+        for mode, is_shown in ((MetricsMode.SCRAPE, True), (MetricsMode.OFF, False)):
+            metrics = MetricsSettings(mode=mode)
+            cfg = Settings(host=base.host, platform=base.platform, metrics=metrics)
+            instruments = build_instruments(cfg)
+            instruments.count(Count("hedges_sent"))
+            self.assertEqual("hedges_sent" in instruments.render(), is_shown)
+            instruments.close()
--- a/jackdawsill/hedging/__init__.py
+++ b/jackdawsill/hedging/__init__.py
@@ -1,6 +1,6 @@
 """Hedging: when to send a second sub-request, and how much extra load is allowed."""
 
-from jackdawsill.hedging import _handlers  # noqa: F401
+from jackdawsill.hedging import _handlers, _views  # noqa: F401
 from jackdawsill.hedging._budget import (
     BURST_TOKENS,
     HEDGE_RESERVE_TOKENS,
--- a/jackdawsill/limits/__init__.py
+++ b/jackdawsill/limits/__init__.py
@@ -1,6 +1,6 @@
 """Limits: connection shares, concurrency, admission and retry suppression."""
 
-from jackdawsill.limits import _handlers  # noqa: F401
+from jackdawsill.limits import _handlers, _views  # noqa: F401
 from jackdawsill.limits._admission import AdmissionQueue, Offer, Released
 from jackdawsill.limits._concurrency import ConcurrencyLimits
 from jackdawsill.limits._messages import (
--- a/jackdawsill/membership/__init__.py
+++ b/jackdawsill/membership/__init__.py
@@ -1,6 +1,6 @@
 """Membership: known hosts, links between them and evidence of failures."""
 
-from jackdawsill.membership import _handlers  # noqa: F401 - registers the handlers
+from jackdawsill.membership import _handlers, _views  # noqa: F401 - registers both
 from jackdawsill.membership._errors import HandshakeRefused, InvalidMemberTable
 from jackdawsill.membership._events import PeerDown, PeerUp
 from jackdawsill.membership._messages import (
--- a/jackdawsill/quarantine/__init__.py
+++ b/jackdawsill/quarantine/__init__.py
@@ -1,6 +1,6 @@
 """Requests that crash backend servers: suspicion, canaries and refusal."""
 
-from jackdawsill.quarantine import _handlers  # noqa: F401 - registers the handlers
+from jackdawsill.quarantine import _handlers, _views  # noqa: F401 - registers both
 from jackdawsill.quarantine._messages import (
     CondemnedItem,
     CrashItem,
--- /dev/null
+++ b/jackdawsill/quarantine/_views.py
@@ -0,0 +1,69 @@
+"""Operator views of suspected and condemned fingerprints."""
+
+from typing import Any
+
+from jackdawsill.core import HostState, explains, seconds_left, status_section
+from jackdawsill.quarantine._quarantine import SUSPECT_S, Quarantine, Verdict
+
+# The status stays readable after a flood of suspicions.
+MAX_SHOWN = 20
+
+TREATMENTS = {
+    Verdict.CLEAR: "run as usual",
+    Verdict.SUSPECT: "run one sub-request at a time, alone on its replica",
+    Verdict.CONDEMNED: "refused with JDS-2007",
+}
+
+
+@status_section("quarantine")
+def quarantine_status(state: HostState, now: float) -> dict[str, Any]:
+    """Return the condemned fingerprints and the number of suspected ones."""
+    quarantine = state.parts_.get(Quarantine)
+    if quarantine is None:
+        return {}
+    condemned = [
+        {"fingerprint": name, "refused_for_s": seconds_left(until, now)}
+        for name, until in quarantine.condemned_.items()
+        if until > now
+    ]
+    names = [*quarantine.strong_, *quarantine.weak_]
+    suspected = [n for n in names if quarantine.check(n, now) is Verdict.SUSPECT]
+    return {
+        "n_condemned": len(condemned),
+        "n_suspected": len(suspected),
+        "condemned": condemned[-MAX_SHOWN:],
+        "suspected": suspected[:MAX_SHOWN],
+    }
+
+
+@explains("fingerprint", "quarantine")
+def explain_fingerprint(
+    state: HostState, name: str, now: float
+) -> dict[str, Any] | None:
+    """Return the verdict on a fingerprint and its evidence; None without any."""
+    quarantine = state.parts_.get(Quarantine)
+    if quarantine is None:
+        return None
+    verdict = quarantine.check(name, now)
+    until = quarantine.condemned_.get(name)
+    suspicion = quarantine.strong_.get(name) or quarantine.weak_.get(name)
+    if until is None and suspicion is None:
+        return None
+    forgotten_at = None if suspicion is None else suspicion.changed_at + SUSPECT_S
+    return {
+        "verdict": str(verdict),
+        "treatment": TREATMENTS[verdict],
+        "refused_for_s": seconds_left(until, now),
+        "suspected_for_s": seconds_left(forgotten_at, now),
+        "cleared_by_canary": suspicion is not None and suspicion.cleared_at is not None,
+        "crashes": [
+            {
+                "replica": crash.replica,
+                "failure_domain": crash.failure_domain,
+                "seconds_ago": round(now - crash.at, 1),
+                "alone": crash.alone,
+                "canary": crash.canary,
+            }
+            for crash in (suspicion.crashes if suspicion else ())
+        ],
+    }
--- a/jackdawsill/query/__init__.py
+++ b/jackdawsill/query/__init__.py
@@ -4,7 +4,7 @@
 `_send`, `_wait`, `_canary`, `_hedge`, `_merge` and `_deliver`.
 """
 
-from jackdawsill.query import _handlers  # noqa: F401
+from jackdawsill.query import _handlers, _views  # noqa: F401
 from jackdawsill.query._attach import attach_query_parts
 from jackdawsill.query._errors import (
     BadBody,
--- a/jackdawsill/routing/__init__.py
+++ b/jackdawsill/routing/__init__.py
@@ -1,5 +1,6 @@
 """Routing: what this host knows of replicas, and the choice between them."""
 
+from jackdawsill.routing import _views  # noqa: F401
 from jackdawsill.routing._handlers import spread_leaving
 from jackdawsill.routing._log_events import REPLICA_EJECTED, REPLICA_LEAVING
 from jackdawsill.routing._messages import LeavingNotice
--- a/jackdawsill/snapshots/__init__.py
+++ b/jackdawsill/snapshots/__init__.py
@@ -1,5 +1,6 @@
 """Snapshots: binding of queries and what the replicas are known to serve."""
 
+from jackdawsill.snapshots import _views  # noqa: F401
 from jackdawsill.snapshots._handlers import announce_servable
 from jackdawsill.snapshots._messages import ServableNotice
 from jackdawsill.snapshots._table import (
--- a/jackdawsill/spread/__init__.py
+++ b/jackdawsill/spread/__init__.py
@@ -1,6 +1,6 @@
 """Spread of configuration: newest accepted set on all hosts, never reverting."""
 
-from jackdawsill.spread import _handlers  # noqa: F401 - registers the handlers
+from jackdawsill.spread import _handlers, _views  # noqa: F401 - registers both
 from jackdawsill.spread._errors import InvalidManifest, SetNotAcceptable
 from jackdawsill.spread._joining import Joining
 from jackdawsill.spread._manifest import (
