Merge burn reports in jackdawsillctl

Cause: jackdawsillctl burn printed the raw report of each host. Conclusion: one command shows the budgets of the fleet.

--- a/jackdawsill/cli/_commands.py
+++ b/jackdawsill/cli/_commands.py
@@ -12,9 +12,14 @@
 from fire.decorators import SetParseFn
 
 from jackdawsill.cli._bundles import read_set, write_bundle
-from jackdawsill.cli._client import DEFAULT_TIMEOUT_S, ask_hosts, check_host
-from jackdawsill.cli._errors import BadArgument, CommandFailed
-from jackdawsill.cli._render import render, render_diff
+from jackdawsill.cli._client import (
+    DEFAULT_TIMEOUT_S,
+    HostAnswer,
+    ask_hosts,
+    check_host,
+)
+from jackdawsill.cli._errors import BadArgument, CommandFailed, FileNotWritten
+from jackdawsill.cli._render import in_reading_order, render, render_diff
 from jackdawsill.exceptions import JackdawsillError
 from jackdawsill.ini import one_line
 from jackdawsill.objects import CheckedSet, SetInvalid, check_set, diff
@@ -115,14 +120,21 @@
         print(line)
 
 
-def _ask(hosts: tuple[str, ...], path: str, json: bool, timeout_s: float) -> None:
-    """Print what the hosts answer; raise `CommandFailed` if any did not."""
+def _answers(
+    hosts: tuple[str, ...], path: str, timeout_s: float
+) -> tuple[list[HostAnswer], list[HostAnswer]]:
+    """Return what the hosts answer, and the failures."""
     if not hosts:
         raise BadArgument("name at least one host as address:operator_port")
     checked = list(dict.fromkeys(check_host(host) for host in hosts))
     answers = asyncio.run(ask_hosts(checked, path, timeout_s))
     good = [answer for answer in answers if answer.error is None]
-    failed = [answer for answer in answers if answer.error is not None]
+    return good, [answer for answer in answers if answer.error is not None]
+
+
+def _ask(hosts: tuple[str, ...], path: str, json: bool, timeout_s: float) -> None:
+    """Print what the hosts answer; raise `CommandFailed` if any did not."""
+    good, failed = _answers(hosts, path, timeout_s)
     if json:
         _print_json(
             {
@@ -133,7 +145,7 @@
     else:
         for answer in good:
             print(f"host {answer.host}")
-            for line in render(answer.answer):
+            for line in render(in_reading_order(answer.answer)):
                 print(f"  {line}")
     if failed:
         raise CommandFailed([answer.error for answer in failed])
@@ -163,9 +175,38 @@
 
 
 @_command
-def burn(*hosts: str, json: bool = False, timeout_s: float = DEFAULT_TIMEOUT_S) -> None:
-    """Print how fast hosts use up the error budgets of the objectives."""
-    _ask(hosts, "/burn", json, timeout_s)
+def burn(
+    *hosts: str,
+    json: bool = False,
+    html: str = "",
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+) -> None:
+    """Print how fast the hosts together use up the error budgets.
+
+    `--json` prints the merged report as JSON; `--html FILE` also writes a page with
+    plots. Hosts that do not answer are missing from the report and named as errors.
+    """
+    good, failed = _answers(hosts, "/burn", timeout_s)
+    if good:
+        _burn([answer.answer for answer in good], json, html)
+    if failed:
+        raise CommandFailed([answer.error for answer in failed])
+
+
+def _burn(answers: list[Any], json: bool, html: str) -> None:
+    """Print the merged report and write its page."""
+    # The burn report imports the metrics exporters, which other commands do not need.
+    from jackdawsill.burn import merge_reports, render_html, render_json, render_text
+
+    merged = merge_reports(answers)
+    print(render_json(merged) if json else render_text(merged), end="")
+    if not html:
+        return
+    try:
+        Path(html).write_text(render_html(merged), encoding="utf-8")
+    except OSError as exc:
+        message = f"{html} cannot be written: {exc.strerror or exc}"
+        raise FileNotWritten(message) from None
 
 
 COMMANDS: dict[str, Callable[..., None]] = {
--- a/jackdawsill/cli/_errors.py
+++ b/jackdawsill/cli/_errors.py
@@ -33,6 +33,11 @@
     """The directory holds a bundle of the same or a later generation."""
 
 
+@register_error(5206)
+class FileNotWritten(JackdawsillError):
+    """A file that a command was told to write cannot be written."""
+
+
 class CommandFailed(Exception):
     """Several errors of one command, to be printed one per line."""
 
--- a/jackdawsill/cli/_render.py
+++ b/jackdawsill/cli/_render.py
@@ -7,6 +7,8 @@
 from jackdawsill.objects import Action, CallerChange, SetDiff
 
 INDENT = "  "
+# Identity and phase come first, then what depends on them.
+FIRST_SECTIONS = ("object", "host", "stopping", "spread", "members")
 
 
 def printable(value: Any) -> str:
@@ -20,6 +22,15 @@
     return one_line(str(value))
 
 
+def in_reading_order(answer: Any) -> Any:
+    """Return an answer with scalars and the sections that are read first on top."""
+    if not isinstance(answer, dict):
+        return answer
+    first = [name for name, item in answer.items() if _is_flat(item)]
+    first += [name for name in FIRST_SECTIONS if name in answer]
+    return {name: answer[name] for name in dict.fromkeys([*first, *answer])}
+
+
 def _is_flat(value: Any) -> bool:
     return not isinstance(value, dict | list)
 
--- a/jackdawsill/cli/tests/test_commands.py
+++ b/jackdawsill/cli/tests/test_commands.py
@@ -12,7 +12,10 @@
 
 from aiohttp import web
 
+from jackdawsill.burn import ErrorBudgets
 from jackdawsill.cli import main
+from jackdawsill.core import QueryFinished
+from jackdawsill.objects import Objective
 
 ROOT = Path(__file__).parents[3]
 ENVASES = str(ROOT / "examples" / "envases")
@@ -138,12 +141,31 @@
         site = web.TCPSite(runner, "127.0.0.1", 0)
         await site.start()
         self.host = f"127.0.0.1:{runner.addresses[0][1]}"
+        self.good = await self.serve_report()
         # A bound socket that does not listen refuses connections.
         closed = socket.socket()
         self.addCleanup(closed.close)
         closed.bind(("127.0.0.1", 0))
         self.closed = f"127.0.0.1:{closed.getsockname()[1]}"
 
+    async def serve_report(self):
+        """Serve the burn report of a host that answered one query."""
+        objective = Objective("o", "search", 340, 0.99, 0.99, 0.05)
+        budgets = ErrorBudgets("h1")
+        finished = QueryFinished("ana", "search", 0.1, 10, 10, 10, 10)
+        budgets.on_query(finished, {"o": objective}, 1.0)
+
+        async def burn(request):
+            return web.json_response(budgets.report({"o": objective}, 4, 1.0))
+
+        app = web.Application()
+        app.router.add_get("/burn", burn)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        return f"127.0.0.1:{runner.addresses[0][1]}"
+
     async def ask(self, *argv):
         return await asyncio.to_thread(run, *argv)
 
@@ -175,6 +197,20 @@
         )
         self.assertIn("JDS-5203", (await self.ask("burn", self.host))[2])
 
+    async def test_burn_reports_are_merged(self):
+        """Guards against reports of single hosts that operators have to add up."""
+        page = Path(tempfile.mkdtemp()) / "burn.html"
+        self.addCleanup(shutil.rmtree, page.parent)
+        hosts = (self.good, self.good, self.closed)
+        status, out, err = await self.ask("burn", *hosts, "--html", str(page))
+        self.assertEqual((status, err[:8]), (1, "JDS-5202"))
+        self.assertIn("1 hosts, generation 4, 3 budgets, 0 used up", out)
+        self.assertIn("data:image/png", page.read_text())
+        status, out, _ = await self.ask("burn", self.good, "--json")
+        self.assertEqual((status, json.loads(out)["generation"]), (0, 4))
+        bad = await self.ask("burn", self.good, "--html", str(page.parent))
+        self.assertEqual((bad[0], bad[2][:8]), (1, "JDS-5206"))
+
     async def test_bad_arguments_are_typed_errors(self):
         """Guards against names that need a resolver and paths built of input."""
         for argv in (
