Add the metrics mode off to Instruments

Change: mode off has no reader, and close waits at most 2 s. Conclusion: all modes of the settings file have an effect.

--- a/jackdawsill/metrics/_instruments.py
+++ b/jackdawsill/metrics/_instruments.py
@@ -29,6 +29,8 @@
 MAX_LABEL_SETS = 200
 MAX_LABEL_CHARS = 100
 OTHER = "other"
+# A stop does not wait longer than this for an endpoint that does not answer.
+CLOSE_LIMIT_S = 2.0
 # Boundaries in seconds; 0.34 is the default deadline.
 BOUNDARIES_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.34, 0.5, 1.0, 5.0)
 
@@ -38,11 +40,12 @@
 
     SCRAPE = "scrape"
     PUSH = "push"
+    OFF = "off"
 
 
 @dataclass(slots=True, frozen=True)
 class MetricsSettings:
-    """Say whether metrics are scraped, or pushed to an OTLP endpoint over HTTP."""
+    """Say whether metrics are scraped, pushed to an OTLP endpoint, or not exported."""
 
     mode: MetricsMode = MetricsMode.SCRAPE
     push_url: str = ""
@@ -92,8 +95,10 @@
     ) -> None:
         self.settings = settings
         self.registry_ = CollectorRegistry()
+        if reader is None and settings.mode is not MetricsMode.OFF:
+            reader = self._make_reader()
         self.provider_ = MeterProvider(
-            metric_readers=[reader or self._make_reader()],
+            metric_readers=[] if reader is None else [reader],
             resource=Resource.create(
                 {"service.name": "jackdawsill", "service.instance.id": settings.host}
             ),
@@ -182,4 +187,4 @@
 
     def close(self) -> None:
         """Push what is left and stop the exporter."""
-        self.provider_.shutdown()
+        self.provider_.shutdown(timeout_millis=CLOSE_LIMIT_S * 1000)
