--- a/examples/local_fleet.py
+++ b/examples/local_fleet.py
@@ -9,6 +9,7 @@
 import argparse
 import asyncio
 import random
+import shutil
 import signal
 import sys
 from pathlib import Path
@@ -19,6 +20,7 @@
 
 from examples._world import EXAMPLES, LOOPBACK, MEDIAN_MS, STRAGGLER_FRACTION, until
 from examples.demo import ENVASES_ITEMS, items_of
+from jackdawsill.cli._bundles import write_bundle
 from jackdawsill.core import HostEntry, SendPeer
 from jackdawsill.daemon import HostProcess
 from jackdawsill.logs import JsonHandler
@@ -37,7 +39,9 @@
 FIRST_PORT = 7080
 DOMAINS = ("bogota", "medellin", "cali")
 READY_LIMIT_S = 15.0
-POISON = b"poison"
+POISON = b"poison"  # a body that contains it crashes each backend server
+SLOW_MS = 200.0
+ACTIONS = ("usual", "drain", "shed", "slow", "crash", "restart")
 
 
 class Refused(Exception):
@@ -53,6 +57,7 @@
         self.host_list = HostList()
         self.backends: dict[str, BackendServer] = {}
         self.hosts: dict[str, HostProcess] = {}
+        self.n_restarts: dict[str, int] = {}
         self.commands = {
             "publish": self._publish,
             "backend": self._backend,
@@ -120,38 +125,36 @@
         self.config.publish(values)
         return f"published {len(values)} values of {path}"
 
-    def _backend(self, name: str, action: str) -> str:
+    async def _backend(self, name: str, action: str) -> str:
         """Change what a backend server does, or all with a prefix ending in `*`."""
         prefix = name.removesuffix("*")
         found = [
-            server
-            for known, server in self.backends.items()
+            known
+            for known in self.backends
             if known == name or (prefix != name and known.startswith(prefix))
         ]
         if not found:
             raise Refused(f"no backend server is named {name}")
-        for server in found:
-            if action == "crash":
-                server.crash()
-            elif action == "slow":
-                server.script.median_ms = 20 * MEDIAN_MS
-            elif action in ("drain", "shed", "usual"):
-                server.script.draining = action == "drain"
-                server.script.shed = action == "shed"
-                server.script.median_ms = MEDIAN_MS
-            elif action != "restart":
-                raise Refused("actions are crash, restart, drain, shed, slow and usual")
-        if action == "restart":
-            return self._restart(found)
+        if action not in ACTIONS:
+            raise Refused(f"actions are {', '.join(ACTIONS)}")
+        for known in found:
+            await self._act(known, action)
         return f"{len(found)} backend servers: {action}"
 
-    def _restart(self, servers: list[BackendServer]) -> str:
-        """Let crashed backend servers listen again."""
-        loop = asyncio.get_running_loop()
-        for server in servers:
-            server.listener.crash()
-            self.restarting = loop.create_task(server.start())
-        return f"{len(servers)} backend servers: restart"
+    async def _act(self, name: str, action: str) -> None:
+        """Change what one backend server does."""
+        server = self.backends[name]
+        if action == "crash":
+            server.crash()
+        elif action == "restart":
+            # A poison request also crashes servers, so crashes are counted there.
+            if self.n_restarts.get(name, 0) < server.n_crashes_:
+                await server.start()
+            self.n_restarts[name] = server.n_crashes_
+        else:
+            server.script.draining = action == "drain"
+            server.script.shed = action == "shed"
+            server.script.median_ms = SLOW_MS if action == "slow" else MEDIAN_MS
 
     def _config_service(self, action: str) -> str:
         """Let the configuration service go down, be stale or work as usual."""
@@ -247,23 +250,29 @@
     return 0
 
 
+def prepare(directory: Path) -> Path:
+    """Write the object files and their bundle of generation 1; return the bundle."""
+    for name in ("objects", "bundle"):
+        shutil.rmtree(directory / name, ignore_errors=True)
+    objects = directory / "objects"
+    shutil.copytree(EXAMPLES / "envases", objects)
+    write_bundle(check_set(objects), 1, directory / "bundle")
+    return directory / "bundle"
+
+
 def main(argv: list[str] | None = None) -> int:
-    """Run the fleet; log lines go to the file that is named."""
+    """Run the fleet; its files go to the directory that is named."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--bundle", type=Path, default=Path("/tmp/local-fleet/bundle"))
-    parser.add_argument("--log", type=Path, default=Path("/tmp/local-fleet/log"))
+    parser.add_argument("--directory", type=Path, default=Path("/tmp/local-fleet"))
     parser.add_argument("--control-port", type=int, default=CONTROL_PORT)
     args = parser.parse_args(argv)
-    args.log.parent.mkdir(parents=True, exist_ok=True)
-    if not (args.bundle / MANIFEST_KEY).exists():
-        from jackdawsill.cli import main as jackdawsillctl
-
-        source = str(EXAMPLES / "envases")
-        jackdawsillctl(["bundle", source, "1", str(args.bundle)])
-    with args.log.open("w", buffering=1) as log:
-        handler = JsonHandler(log, level=logbook.INFO)
-        with handler.applicationbound():
-            return uvloop.run(run(args.bundle, args.control_port))
+    args.directory.mkdir(parents=True, exist_ok=True)
+    bundle = prepare(args.directory)
+    with (
+        (args.directory / "log").open("w", buffering=1) as log,
+        JsonHandler(log, level=logbook.INFO).applicationbound(),
+    ):
+        return uvloop.run(run(bundle, args.control_port))
 
 
 if __name__ == "__main__":
