--- a/jackdawsill/daemon/tests/test_views.py
+++ b/jackdawsill/daemon/tests/test_views.py
@@ -8,7 +8,7 @@
 from jackdawsill.assembly import assemble_host, new_incarnation
 from jackdawsill.core import Count, FailureKind, SetAccepted, explain, reduce, status
 from jackdawsill.daemon import _views  # noqa: F401
-from jackdawsill.daemon._build import build_instruments
+from jackdawsill.daemon._metrics import make_metrics
 from jackdawsill.daemon.tests._fixtures import settings
 from jackdawsill.limits import ConcurrencyLimits, ConnectionShares
 from jackdawsill.membership import Member
@@ -104,7 +104,7 @@
         for mode, is_shown in ((MetricsMode.SCRAPE, True), (MetricsMode.OFF, False)):
             metrics = MetricsSettings(mode=mode)
             cfg = Settings(host=base.host, platform=base.platform, metrics=metrics)
-            instruments = build_instruments(cfg)
+            instruments = make_metrics(cfg)
             instruments.count(Count("hedges_sent"))
             self.assertEqual("hedges_sent" in instruments.render(), is_shown)
             instruments.close()
--- a/jackdawsill/limits/_views.py
+++ b/jackdawsill/limits/_views.py
@@ -51,7 +51,7 @@
         "full_share": shares.shares_[name].full,
         "connection_cap": group.max_connections,
         "n_hosts": len(shares.hosts_),
-        "sent_through_holders": share == 0,
+        "may_send": share > 0,
         "concurrency_limit": round(limits.limit(name, group.n_slots), 2),
         "slots": group.n_slots,
     }
--- a/jackdawsill/query/_views.py
+++ b/jackdawsill/query/_views.py
@@ -67,7 +67,9 @@
                 "because": _reason(name in route.callers, caller.department)
                 if objects.may_query(caller, route)
                 else "neither the caller nor its department is named",
-                "sees": " ".join(sorted(objects.visible_classes(caller, route))),
+                "sees": " ".join(sorted(objects.visible_classes(caller, route)))
+                if objects.may_query(caller, route)
+                else None,
             }
             for route in sorted(objects.routes.values(), key=lambda r: r.name)
         ],
