--- a/tools/check_pages.py
+++ b/tools/check_pages.py
@@ -23,6 +23,7 @@
 STOP_LIMIT_S = 20
 PREAMBLE = """set -eo pipefail
 jackdawsillctl() { "$PYTHON" -m jackdawsill.cli "$@"; }
+jackdawsilld() { "$PYTHON" -m jackdawsill.daemon "$@"; }
 """
 
 
