--- a/jackdawsill/membership/_table.py
+++ b/jackdawsill/membership/_table.py
@@ -55,6 +55,7 @@
         "advert_",
         "buckets_",
         "confirmed_",
+        "detail_at_",
         "entries_",
         "evidence_",
         "fleet_key",
@@ -97,6 +98,7 @@
         self.leaving_ = False
         self.confirmed_ = False  # a peer confirmed this host since its last pause
         self.n_pauses_ = 0
+        self.detail_at_ = 0.0  # when the next difference may be compared
         self.advert_ = Advert()
         self.evidence_ = EvidenceBook()
         self.tombstones_ = Tombstones()
@@ -204,12 +206,14 @@
         self.outbox_records_.put(self.record_of(record.incarnation), source)
         return Applied.CHANGED
 
-    def raise_refutation(self, incarnation: str, refutation: int, now: float) -> None:
+    def raise_refutation(
+        self, incarnation: str, refutation: int, now: float, source: int = 0
+    ) -> Applied:
         """Take in a higher count of a known incarnation; it was alive to raise it."""
         record = self.record_of(incarnation)._replace(
             refutation=refutation, state=int(MemberState.ALIVE)
         )
-        self.apply(record, now)
+        return self.apply(record, now, source)
 
     def on_handshake(self, member: Member, refutation: int, now: float) -> Applied:
         """Take in a member that proved itself; its address has one incarnation."""
--- a/jackdawsill/query/_deliver.py
+++ b/jackdawsill/query/_deliver.py
@@ -12,8 +12,8 @@
     Refuse,
 )
 from jackdawsill.exceptions import JackdawsillError, Outcome
-from jackdawsill.limits import AdmissionQueue, ShedWatch
-from jackdawsill.query._admit import apply_released, overloaded
+from jackdawsill.limits import AdmissionQueue
+from jackdawsill.query._admit import overloaded
 from jackdawsill.query._canary import start_same
 from jackdawsill.query._cancel import cancel_all
 from jackdawsill.query._errors import (
@@ -25,14 +25,10 @@
 )
 from jackdawsill.query._merge import merge
 from jackdawsill.query._model import Query
-from jackdawsill.query._room import use_room
+from jackdawsill.query._room import leave_window, use_room, waits_for_few
 from jackdawsill.query._table import QueryTable
 from jackdawsill.snapshots import SnapshotTable, announce_servable
 
-# If at most this part of a query's shards is held by services that shed, fewer
-# queries would idle the other services; retries to the shedding ones end anyway.
-LOCAL_FRACTION = 0.25
-
 
 def finish(state: HostState, query: Query, now: float, out: list[Effect]) -> None:
     """Give a query its one reply."""
@@ -76,6 +72,8 @@
     """Cancel what a query still has in flight and remove all of its state."""
     table = state.part(QueryTable)
     ended = [sub for task in query.open.values() for sub in task.subs]
+    # Neither the time nor the lateness of such a query tells about the group.
+    is_typical = not waits_for_few(state, query, now)
     cancel_all(state, query, now, out)
     table.remove(query)
     out.append(ClearTimer(query.end_timer()))
@@ -88,44 +86,18 @@
         snapshots = state.part(SnapshotTable)
         snapshots.on_query_ended(query.snapshot, answered=not is_abandoned)
         out.extend(announce_servable(state, query.route.group, now))
-    _release(state, query, now, out, is_abandoned)
-    if query.fingerprint in table.by_fingerprint_:
-        start_same(state, query.fingerprint, now, out)
-    use_room(state, ended, now, out)
-
-
-def _release(
-    state: HostState, query: Query, now: float, out: list[Effect], is_abandoned: bool
-) -> None:
     queue = state.part(AdmissionQueue)
-    group = query.route.group
     if not query.is_admitted:
         queue.abandon(query.query_id)
-        return
-    service_s = None
-    if query.started_at is not None and not is_abandoned:
-        service_s = now - query.started_at
-    mean_s = query.latency_sum_s / query.n_answered if query.n_answered else 0.0
-    released = queue.release(
-        group,
-        now,
-        service_s=service_s,
-        mean_latency_s=mean_s,
-        shed_fraction=_shed_fraction(state, query, now),
-    )
-    apply_released(state, released, group, out)
-
-
-def _shed_fraction(state: HostState, query: Query, now: float) -> float:
-    """Return the part of a query's work whose shedding fewer queries would cure."""
-    if not query.n_shed:
-        return 0.0
-    watch = state.part(ShedWatch)
-    n_shedding = sum(watch.is_shedding(t.shard.service, now) for t in query.tasks)
-    n_shed = query.n_shed
-    if n_shedding <= LOCAL_FRACTION * len(query.tasks):
-        n_shed -= query.n_shed_locally
-    return n_shed / max(1, query.n_needed)
+    else:
+        leave_window(state, query, now, out, is_abandoned)
+        if is_typical and not is_abandoned and query.started_at is not None:
+            is_late = now >= query.cutoff_at
+            total_s = now - query.started_at
+            queue.on_ended(query.route.group, total_s, is_late, now)
+    if query.fingerprint in table.by_fingerprint_:
+        start_same(state, query.fingerprint, now, out)
+    use_room(state, ended, now, out)
 
 
 def _reply(state: HostState, query: Query, now: float) -> Deliver | Refuse:
--- a/jackdawsill/query/_hedge.py
+++ b/jackdawsill/query/_hedge.py
@@ -8,6 +8,8 @@
 from jackdawsill.query._model import Query, ShardTask
 from jackdawsill.query._pick import pick
 from jackdawsill.query._send import TIMER_STEP_S, arm, send_to, verdict
+from jackdawsill.query._shed import send_due
+from jackdawsill.query._table import QueryTable
 
 # Sub-requests in flight for one shard.
 N_IN_FLIGHT_LATENCY = 2
@@ -42,10 +44,10 @@
     due: list[ShardTask] = []
     next_at = query.cutoff_at
     for task in query.open.values():
-        if not task.subs and task is not query.canary:
+        if not _has_timer(state, query, task):
             continue
         due_at = task.hedge_at
-        if not is_last and task is not query.canary and not task.is_hedge_checked:
+        if not is_last and task.subs and not task.is_hedge_checked:
             due_at += (PATIENCE - 1) * policy.delay_s(task.shard.service, now)
         if due_at <= now + TIMER_STEP_S:
             due.append(task)
@@ -56,13 +58,25 @@
         if found is Verdict.CONDEMNED:
             return
         for task in due:
-            _hedge_shard(state, query, task, found, now, out)
+            if task.parked_in is not None:
+                send_due(state, query, task, now, out)
+            else:
+                _hedge_shard(state, query, task, found, now, out)
             if task.hedge_at > now:
                 next_at = min(next_at, task.hedge_at)
     if next_at < query.cutoff_at:
         arm(query, next_at, out)
 
 
+def _has_timer(state: HostState, query: Query, task: ShardTask) -> bool:
+    """Tell whether a shard is in flight, or its canary or a shed one waits."""
+    if task.subs or task is query.canary:
+        return True
+    return task.parked_in is not None and (
+        task.parked_in is state.part(QueryTable).shed_
+    )
+
+
 def _hedge_shard(
     state: HostState,
     query: Query,
--- a/jackdawsill/query/_model.py
+++ b/jackdawsill/query/_model.py
@@ -38,6 +38,7 @@
     hedge_at: float = float("inf")
     is_hedge_checked: bool = False  # was due for a hedge, sent or not
     n_attempts: int = 0
+    n_shed: int = 0
     tried: tuple[str, ...] = ()
     subs: list[SubRequest] = field(default_factory=list)
     items: list[dict[str, Any]] | None = None
@@ -66,6 +67,7 @@
     canary: ShardTask | None = None
     canary_replica: str = ""
     is_admitted: bool = False  # counted by the admission queue as running
+    has_left_window: bool = False
     started_at: float | None = None
     hedge_timer_at: float = float("inf")
     n_sent: int = 0
--- a/jackdawsill/routing/_table.py
+++ b/jackdawsill/routing/_table.py
@@ -102,10 +102,10 @@
         self.state_of(replica).in_flight += 1
 
     def on_ended(self, replica: str) -> None:
-        """Count the end of a sub-request that `on_sent` counted.
+        """Count the end of a sub-request in flight, whatever its outcome was.
 
-        It is apart from `on_answer` and `on_failure`, because ticketed requests
-        report their outcomes and do not take part in this host's limits.
+        It is apart from `on_answer` and `on_failure`, because a sub-request whose
+        outcome is never told ends as well.
         """
         self.state_of(replica).on_ended()
 
