--- a/jackdawsill/query/tests/test_failures.py
+++ b/jackdawsill/query/tests/test_failures.py
@@ -313,6 +313,26 @@
         notices = [m for m in world.peer_messages if isinstance(m, ServableNotice)]
         self.assertEqual([n.snapshot for n in notices], ["v1", "v2"])
 
+    def test_few_replicas_take_no_new_snapshot(self):
+        """Guards against all queries going to the first replicas of a new index."""
+        world = World(object_set(versions=(1, 2)))
+        moved = {"0"}
+
+        def behave(replica, send):
+            serves = "v2" if replica[-1] in moved else "v1"
+            if send.snapshot != serves:
+                return 0.002, SubFailed(send.sub_id, FailureKind.DECLINED, (serves,))
+            return 0.01, None
+
+        world.behave = behave
+        for last, snapshot in (("0", "v1"), ("1", "v2")):
+            moved.add(last)
+            ids = [world.ask(at=world.now + 0.1 * i) for i in range(80)]
+            world.run()
+            answers = [world.answer_of(query_id).snapshot for query_id in ids[-20:]]
+            # The others are probes; without the decision 11 of 20 answer v1.
+            self.assertGreaterEqual(answers.count(snapshot), 15, answers)
+
     def test_notice_of_a_servable_snapshot(self):
         """Guards against notices that go round for ever or name nothing known."""
         world = World(object_set(versions=(1, 2)))
--- a/jackdawsill/snapshots/_table.py
+++ b/jackdawsill/snapshots/_table.py
@@ -8,6 +8,10 @@
 # A snapshot takes new queries while this fraction of its shards has a replica
 # that is not known to decline it.
 SERVABLE_FRACTION = 0.9
+# While a new index is loaded replica by replica, the first replicas could not take
+# all queries of the group. A newer snapshot is preferred from this part of the
+# replicas on, or if no older one has more of them.
+CAPACITY_FRACTION = 0.5
 # A replica loads a new index without notice, so a decline is believed only for
 # this time; each expiry costs at most one more declined sub-request.
 DECLINE_TTL_S = 5.0
@@ -28,6 +32,8 @@
     declines: dict[str, dict[str, float]] = field(default_factory=dict)
     checked_at: float = float("-inf")
     servable: bool = True
+    # Fraction of the replicas, over all shards, not known to decline.
+    capacity: float = 1.0
     changed: bool = True
 
 
@@ -45,13 +51,16 @@
     ) -> Snapshot | None:
         """Return the snapshot for a new query, or None if the group has no other."""
         fallback = None
+        preferred = self.newest_servable(group, objects, now, exclude)
         for snapshot in objects.snapshots_of(group):
             if snapshot.name in exclude:
                 continue
+            if snapshot is preferred:
+                return snapshot
             seen = self._observed(snapshot.name)
             is_servable = self._is_servable(snapshot, seen, objects, now)
             if seen.tried and is_servable:
-                return snapshot
+                continue
             if now >= seen.probe_until and now >= seen.next_probe_at:
                 seen.probe_until = now + PROBE_TIMEOUT_S
                 seen.next_probe_at = now + PROBE_INTERVAL_S
@@ -125,17 +134,24 @@
         return tuple(name for name, until in declined.items() if until > now)
 
     def newest_servable(
-        self, group: str, objects: ObjectSet, now: float
+        self, group: str, objects: ObjectSet, now: float, exclude: Collection[str] = ()
     ) -> Snapshot | None:
-        """Return the newest snapshot of a group that was tried and is servable."""
+        """Return the newest tried snapshot that enough replicas can serve."""
+        best, best_capacity = None, 0.0
         for snapshot in objects.snapshots_of(group):
             seen = self.observed_.get(snapshot.name)
-            if seen and seen.tried and self._is_servable(snapshot, seen, objects, now):
+            if seen is None or not seen.tried or snapshot.name in exclude:
+                continue
+            if not self._is_servable(snapshot, seen, objects, now):
+                continue
+            if seen.capacity >= CAPACITY_FRACTION:
                 return snapshot
-        return None
+            if seen.capacity > best_capacity:
+                best, best_capacity = snapshot, seen.capacity
+        return best
 
     def announce(self, group: str, objects: ObjectSet, now: float) -> Snapshot | None:
-        """Return the newest servable snapshot if peers do not know it yet."""
+        """Return the preferred snapshot if peers do not know it yet."""
         newest = self.newest_servable(group, objects, now)
         if newest is None or self.announced_.get(group) == newest.name:
             return None
@@ -184,6 +200,7 @@
         self, snapshot: Snapshot, seen: _Observed, objects: ObjectSet, now: float
     ) -> bool:
         if not seen.declines:
+            seen.capacity = 1.0
             return True
         # The check visits all shards, so its result is kept until a decline is
         # recorded or withdrawn, or one may have expired.
@@ -193,11 +210,15 @@
         seen.changed = False
         n_shards = len(snapshot.shards)
         n_declined = 0
+        n_replicas = n_serving = 0
         for shard in snapshot.shards:
+            replicas = objects.replicas_of(shard.service)
             declined = self.declining(snapshot.name, shard.service, now)
-            if declined:
-                replicas = objects.replicas_of(shard.service)
-                n_declined += all(r.name in declined for r in replicas)
+            n_here = sum(r.name not in declined for r in replicas)
+            n_declined += bool(declined) and not n_here
+            n_replicas += len(replicas)
+            n_serving += n_here
+        seen.capacity = n_serving / max(1, n_replicas)
         seen.servable = n_shards - n_declined >= SERVABLE_FRACTION * n_shards
         if not seen.servable:
             seen.next_probe_at = max(seen.next_probe_at, now + PROBE_INTERVAL_S)
