Check the deadline at the send, and take drain evidence from refusals

Cause: a process paused while connecting could send after the deadline, before its timer ran; X-Draining on a refusal was dropped. Change: the connector checks the deadline when it has a connection, and reports 'connect' (not run) if it has passed; SubFailed carries the drain mark. Conclusion: a ticketed request is checked again at the moment of the write.

--- a/jackdawsill/core/_events.py
+++ b/jackdawsill/core/_events.py
@@ -113,6 +113,7 @@
     kind: FailureKind
     servable: tuple[str, ...] = ()
     detail: str = ""
+    draining: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/jackdawsill/daemon/_backend_client.py
+++ b/jackdawsill/daemon/_backend_client.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from contextvars import ContextVar
+from dataclasses import replace
 
 import aiohttp
 from yarl import URL
@@ -126,8 +127,14 @@
         """Return a connection; from here on bytes may leave."""
         conn = await super().connect(req, traces, timeout)
         sub = _current.get()
-        if sub is not None:
-            sub.sent = True
+        if sub is None:
+            return conn
+        if asyncio.get_running_loop().time() >= sub.at_s:
+            # A process that was paused while connecting wakes before its deadline
+            # timer runs; what has not left yet must not leave after the deadline.
+            conn.release()
+            raise TimeoutError("the deadline passed before the send")
+        sub.sent = True
         return conn
 
 
@@ -334,11 +341,12 @@
             resp.close()
             detail = f"answer over {self.max_answer_bytes} bytes"
             return SubFailed(effect.sub_id, FailureKind.BAD_ANSWER, detail=detail)
+        draining = "X-Draining" in resp.headers
         if resp.status == 200:
-            draining = "X-Draining" in resp.headers
             return check_answer(effect, sub.wire_id, body, draining)
         refusal = resp.headers.get("X-Refusal", "")
-        return classify_refusal(effect, resp.status, refusal, body, sub.cancelled)
+        failure = classify_refusal(effect, resp.status, refusal, body, sub.cancelled)
+        return replace(failure, draining=draining)
 
     def _lost(self, sub: _Sub, exc: Exception) -> SubFailed:
         """Classify an exchange that ended without an answer.
--- a/jackdawsill/daemon/tests/test_backend_client.py
+++ b/jackdawsill/daemon/tests/test_backend_client.py
@@ -3,6 +3,9 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
+
+import aiohttp
 
 from jackdawsill.core import (
     NOT_RUN_KINDS,
@@ -274,3 +277,29 @@
         self.client.cancel(CancelSub(sub_id))
         self.client.cancel(CancelSub(99))
         self.assertEqual(self.n_events, 1)
+
+
+class TestSend(ClientCase):
+    """Guards the last check before a sub-request leaves the process."""
+
+    async def test_pause_while_connecting_sends_nothing(self):
+        """Guards against a woken process that sends after the deadline."""
+        connect = aiohttp.TCPConnector.connect
+
+        async def paused(connector, req, traces, timeout):
+            conn = await connect(connector, req, traces, timeout)
+            for sub in self.client._subs.values():
+                sub.at_s = 0.0
+            return conn
+
+        with mock.patch.object(aiohttp.TCPConnector, "connect", paused):
+            kind = await self.kind(repeatable=False)
+        self.assertEqual(kind, FailureKind.CONNECT)
+        self.assertEqual(self.backend.n_arrived_, 0)
+
+    async def test_draining_header_on_a_refusal(self):
+        """Guards against evidence of a drain that is lost with a refusal."""
+        self.backend.script.shed = True
+        self.backend.script.leaving = True
+        outcome = await self.outcome(self.send())
+        self.assertTrue(outcome.draining)
--- a/jackdawsill/query/_wait.py
+++ b/jackdawsill/query/_wait.py
@@ -168,8 +168,6 @@
         query.n_shed += 1
         state.part(ConcurrencyLimits).on_shed(replica, query.n_slots, now)
         state.part(ShedWatch).on_shed(service, now)
-    elif kind is FailureKind.DRAINING:
-        out.extend(spread_leaving(state, replica, "draining refusal", now))
     elif kind is FailureKind.DECLINED:
         state.part(SnapshotTable).on_declined(
             query.snapshot, service, replica, event.servable, state.objects_, now
@@ -177,6 +175,8 @@
         if not sub.task.was_declined:
             sub.task.was_declined = True
             query.n_declined += 1
+    if kind is FailureKind.DRAINING or event.draining:
+        out.extend(spread_leaving(state, replica, "draining refusal", now))
 
 
 def _cancel_losers(
--- a/jackdawsill/standins/_backend.py
+++ b/jackdawsill/standins/_backend.py
@@ -180,6 +180,8 @@
         self.n_arrived_ += 1
         refusal = self._refuse(request, snapshot)
         if refusal is not None:
+            if script.leaving:
+                refusal.headers["X-Draining"] = "1"
             return refusal
         loop = asyncio.get_running_loop()
         self.deadlines_ms_.append(int(request.headers.get("X-Deadline-Ms", "0")))
--- a/jackdawsill/tickets/_replicas.py
+++ b/jackdawsill/tickets/_replicas.py
@@ -102,8 +102,6 @@
         n_slots = _n_slots(state, run.snapshot)
         state.part(ConcurrencyLimits).on_shed(run.replica, n_slots, now)
         state.part(ShedWatch).on_shed(run.service, now)
-    elif event.kind is FailureKind.DRAINING:
-        return spread_leaving(state, run.replica, "draining refusal", now)
     elif event.kind is FailureKind.DECLINED and state.objects_ is not None:
         state.part(SnapshotTable).on_declined(
             run.snapshot,
@@ -113,6 +111,8 @@
             state.objects_,
             now,
         )
+    if event.kind is FailureKind.DRAINING or event.draining:
+        return spread_leaving(state, run.replica, "draining refusal", now)
     return []
 
 
