--- a/jackdawsill/query/_wait.py
+++ b/jackdawsill/query/_wait.py
@@ -179,8 +179,6 @@
         watch = state.part(ShedWatch)
         watch.on_shed(service, now)
         query.n_shed_locally += watch.is_shedding(service, now)
-    elif kind is FailureKind.DRAINING:
-        out.extend(spread_leaving(state, replica, "draining refusal", now))
     elif kind is FailureKind.DECLINED:
         state.part(SnapshotTable).on_declined(
             query.snapshot, service, replica, event.servable, state.objects_, now
@@ -188,6 +186,8 @@
         if not sub.task.was_declined:
             sub.task.was_declined = True
             query.n_declined += 1
+    if kind is FailureKind.DRAINING or event.draining:
+        out.extend(spread_leaving(state, replica, "draining refusal", now))
 
 
 def _cancel_losers(
