--- a/jackdawsill/query/_deliver.py
+++ b/jackdawsill/query/_deliver.py
@@ -25,7 +25,7 @@
 )
 from jackdawsill.query._merge import merge
 from jackdawsill.query._model import Query
-from jackdawsill.query._room import leave_window, use_room
+from jackdawsill.query._room import leave_window, use_room, waits_for_few
 from jackdawsill.query._table import QueryTable
 from jackdawsill.snapshots import SnapshotTable, announce_servable
 
@@ -72,6 +72,8 @@
     """Cancel what a query still has in flight and remove all of its state."""
     table = state.part(QueryTable)
     ended = [sub for task in query.open.values() for sub in task.subs]
+    # Neither the time nor the lateness of such a query tells about the group.
+    is_typical = not waits_for_few(state, query, now)
     cancel_all(state, query, now, out)
     table.remove(query)
     out.append(ClearTimer(query.end_timer()))
@@ -89,7 +91,7 @@
         queue.abandon(query.query_id)
     else:
         leave_window(state, query, now, out, is_abandoned)
-        if not is_abandoned and query.started_at is not None:
+        if is_typical and not is_abandoned and query.started_at is not None:
             is_late = now >= query.cutoff_at
             total_s = now - query.started_at
             queue.on_ended(query.route.group, total_s, is_late, now)
