Tell peers of a crash at once

Cause: notices went out on ticks only. On the local fleet, a poison request sent one after the other through three hosts crashed up to three replicas of a shard. Change: a crash raises CrashRecorded, whose handler sends the notices that are due; notices of peers are passed on when they are read. Their rate stays bounded.

--- a/jackdawsill/quarantine/_handlers.py
+++ b/jackdawsill/quarantine/_handlers.py
@@ -2,14 +2,18 @@
 
 from jackdawsill.core import (
     Effect,
+    FailureKind,
     HostState,
     PeerMessageRead,
+    Raise,
     SendPeer,
     SetAccepted,
+    SubFailed,
     Tick,
     handles,
 )
 from jackdawsill.membership import MemberTable, PeerUp
+from jackdawsill.quarantine._events import CrashRecorded
 from jackdawsill.quarantine._messages import QuarantineNotice, SuspicionNotice
 from jackdawsill.quarantine._notices import MAX_PER_MESSAGE
 from jackdawsill.quarantine._quarantine import Quarantine
@@ -23,6 +27,12 @@
         return []
     quarantine.expire(now)
     effects, quarantine.notes_ = quarantine.notes_, []
+    return effects + _due_notices(state, quarantine, now)
+
+
+def _due_notices(state: HostState, quarantine: Quarantine, now: float) -> list[Effect]:
+    """Send the notices that are due."""
+    effects: list[Effect] = []
     table = state.parts_.get(MemberTable)
     if table is None or not table.links_:
         return effects
@@ -35,6 +45,26 @@
     return effects
 
 
+@handles(SubFailed, needs=Quarantine)
+def on_sub_failed(state: HostState, event: SubFailed, now: float) -> list[Effect]:
+    """Send the notices of a crash once its owner has recorded it."""
+    if event.kind is not FailureKind.CRASH:
+        return []
+    return [Raise(CrashRecorded())]
+
+
+@handles(CrashRecorded, needs=Quarantine)
+def on_crash_recorded(
+    state: HostState, event: CrashRecorded, now: float
+) -> list[Effect]:
+    """Tell peers at once.
+
+    With notices on ticks only, a request that was sent again through two other hosts
+    before the next tick crashed all three replicas of each shard.
+    """
+    return _due_notices(state, state.part(Quarantine), now)
+
+
 @handles(SetAccepted, needs=Quarantine)
 def on_set_accepted(state: HostState, event: SetAccepted, now: float) -> list[Effect]:
     """Learn the failure domains of the replicas."""
@@ -62,7 +92,7 @@
 def on_peer_message(
     state: HostState, event: PeerMessageRead, now: float
 ) -> list[Effect]:
-    """Take in the notices of peers; new ones are passed on by the next tick."""
+    """Take in the notices of peers; new ones are passed on at once."""
     quarantine = state.parts_.get(Quarantine)
     if quarantine is None:
         return []
@@ -72,4 +102,6 @@
     elif isinstance(event.message, QuarantineNotice):
         for condemned in event.message.items:
             quarantine.on_peer_condemned(condemned, now)
-    return []
+    else:
+        return []
+    return _due_notices(state, quarantine, now)
--- a/jackdawsill/quarantine/tests/test_quarantine.py
+++ b/jackdawsill/quarantine/tests/test_quarantine.py
@@ -3,7 +3,16 @@
 import random
 import unittest
 
-from jackdawsill.core import HostState, SetAccepted, Tick, reduce
+from jackdawsill.core import (
+    FailureKind,
+    HostState,
+    SendPeer,
+    SetAccepted,
+    SubFailed,
+    Tick,
+    reduce,
+)
+from jackdawsill.membership import MemberTable
 from jackdawsill.membership.tests.network import FakeNetwork
 from jackdawsill.objects import ObjectSet, Replica
 from jackdawsill.quarantine import (
@@ -205,6 +214,21 @@
 
         self.assertTrue(network.run(5.0, everywhere))
 
+    def test_crash_is_told_before_the_next_tick(self):
+        """Guards against a resend through another host that runs as a usual request."""
+        network = FakeNetwork(1)
+        for i in range(3):
+            network.add(f"h{i}", f"d{i}", Quarantine())
+        network.run(6.0)
+        state = network.nodes[0].state
+        state.part(Quarantine).on_crash("r0", ("p",), network.now)
+        effects = reduce(state, SubFailed(1, FailureKind.CRASH), network.now)
+        told = {e.link_id for e in effects if isinstance(e, SendPeer)}
+        self.assertEqual(told, set(state.part(MemberTable).links_.values()))
+        self.assertEqual(len(told), 2)
+        again = reduce(state, SubFailed(2, FailureKind.TIMEOUT), network.now)
+        self.assertEqual(again, [])
+
     def test_failure_domains_come_from_the_accepted_set(self):
         """Guards against evidence that ignores where replicas are."""
         state = HostState("h", "d", random.Random(1))
