--- a/benchmarks/data_slopes.py
+++ b/benchmarks/data_slopes.py
@@ -18,11 +18,17 @@
     Answer,
     Deliver,
     HostState,
+    LinkOpened,
+    OpenLink,
+    PeerMessageRead,
     QueryArrived,
+    SendPeer,
     SetReadiness,
 )
 from jackdawsill.daemon import Driver
 from jackdawsill.daemon._caller_server import CallerServer
+from jackdawsill.daemon._http_server import listening_socket
+from jackdawsill.daemon._links import LinkSet
 from jackdawsill.limits import (
     ConnectionShares,
     SubBatch,
@@ -41,6 +47,7 @@
 N_HTTP_QUERIES = 60
 N_CALLER_QUERIES = 400
 N_CODEC = 300
+N_FRAMES = 2_000
 BODY = b'{"text":"dieline 2041","limit":20}'
 DESIGN_HOSTS = 730
 N_REPLICAS_PER_SHARD = 3
@@ -194,6 +201,65 @@
     return [sender, holder, wire]
 
 
+class Exchange:
+    """Two hosts that send one frame back and forth over loopback TCP."""
+
+    def __init__(self, n_frames: int) -> None:
+        self.n_left = n_frames
+        self.done = asyncio.Event()
+        self.drivers = []
+        self.links = []
+        for name in ("a", "b"):
+            driver = Driver(HostState(name, "d1", random.Random(1)))
+            links = LinkSet(driver)
+            driver.actions[SendPeer] = links.send
+            self.drivers.append(driver)
+            self.links.append(links)
+
+    def on_read(self, state, event: PeerMessageRead, now: float) -> list:
+        """Send a received frame back."""
+        self.n_left -= 1
+        if self.n_left <= 0:
+            self.done.set()
+            return []
+        return [SendPeer(event.link_id, event.message)]
+
+    async def run(self, message: SubBatch) -> float:
+        """Return microseconds of both hosts for one frame."""
+        handlers = dict(HANDLERS)
+        HANDLERS.clear()
+        HANDLERS[PeerMessageRead] = [self.on_read]
+        HANDLERS[LinkOpened] = [
+            lambda state, event, now: (
+                [SendPeer(event.link_id, message)] if event.outgoing else []
+            )
+        ]
+        n_frames = self.n_left
+        try:
+            await self.links[1].start(listening_socket(LOOPBACK, 0))
+            began = time.process_time()
+            address = f"{LOOPBACK}:{self.links[1].port_}"
+            self.links[0].open(OpenLink(1, address))
+            await self.done.wait()
+            spent_s = time.process_time() - began
+            for links in self.links:
+                await links.stop()
+        finally:
+            HANDLERS.clear()
+            HANDLERS.update(handlers)
+        return spent_s / n_frames * 1e6
+
+
+@role("links")
+def measure_links() -> list[Line]:
+    """Measure a frame from one host to another with codec, driver and sockets."""
+    line = Line("frame, both hosts together", "us", "sub-requests in a frame")
+    for _ in range(N_ROUNDS):
+        for n in BATCHES:
+            line.add(n, uvloop.run(Exchange(N_FRAMES).run(batch(n)[0])))
+    return [line]
+
+
 def cover(n_links: int) -> tuple[int, int]:
     """Return how many of 140 shards a host reaches, and over how many links.
 
--- a/benchmarks/part_slopes.py
+++ b/benchmarks/part_slopes.py
@@ -118,6 +118,7 @@
     budgets_memory = Line("memory of burn", "bytes", "series")
     histograms_memory = Line("memory of latency histograms", "bytes", "series")
     report = Line("burn report with encoding", "us", "series")
+    render = Line("scrape of the metrics", "us", "series")
     known = objectives(4)
 
     def finished(i: int) -> QueryFinished:
@@ -156,6 +157,10 @@
                 histograms.record(f"c{i}", "r0", 0.05)
 
             cost.add(n, cpu_us(query, N_CALLS))
+            for i in range(n):
+                labels = (("route", f"r{i}"),)
+                instruments.count(Count("sub_requests_sent", 147, labels))
+            render.add(n, cpu_us(instruments.render))
             instruments.close()
             report.add(
                 n,
@@ -169,7 +174,7 @@
     for n in SERIES:
         budgets_memory.add(n, kept_bytes(lambda n=n: filled(n)))
         histograms_memory.add(n, kept_bytes(lambda n=n: recorded(n)))
-    return [cost, report, budgets_memory, histograms_memory]
+    return [cost, report, render, budgets_memory, histograms_memory]
 
 
 def replica_set(n: int) -> ObjectSet:
