Cut a host from its peers but not from the platform in the matrix

Cause: the only partition also cut the platform, so views never differed while both sides could read the configuration. Change: fault 'fleet_split'.

--- a/jackdawsill/matrix/_faults.py
+++ b/jackdawsill/matrix/_faults.py
@@ -223,6 +223,12 @@
     ctx.scenario.cut(ctx.host, LONG_PAUSE_S)
 
 
+@fault("fleet_split")
+def inject_fleet_split(ctx: FaultContext) -> None:
+    """Cut the host of the step from all other hosts, but not from the platform."""
+    ctx.scenario.cut(ctx.host, LONG_PAUSE_S, from_platform=False)
+
+
 @fault("poison")
 def inject_poison(ctx: FaultContext) -> None:
     """Make the request of the step crash each replica that runs it."""
--- a/jackdawsill/matrix/_scenario.py
+++ b/jackdawsill/matrix/_scenario.py
@@ -104,14 +104,17 @@
         ]
         return others[0] if others else None
 
-    def cut(self, host: FakeHost, duration_s: float) -> None:
-        """Cut a host from its peers and the platform for a while."""
+    def cut(
+        self, host: FakeHost, duration_s: float, from_platform: bool = True
+    ) -> None:
+        """Cut a host from its peers, and from the platform, for a while."""
         self.excuse(host, ExcuseKind.CUT, duration_s)
         self.world.after(duration_s, lambda: self.heal(host))
         for other in self.world.hosts:
             if other != host.name:
                 self.world.cuts.add(frozenset((host.name, other)))
-        self.world.config_cut.add(host.name)
+        if from_platform:
+            self.world.config_cut.add(host.name)
 
     def heal(self, host: FakeHost) -> None:
         """Undo `cut`."""
