Explain replicas that the set marks as leaving

Cause: explain showed such a replica as in use, although no new work goes to it. Change: the treatment names the mark; a replica without observations is not used yet.

--- a/jackdawsill/daemon/tests/test_views.py
+++ b/jackdawsill/daemon/tests/test_views.py
@@ -1,5 +1,6 @@
 """Tests of the views that operators get of a host."""
 
+import dataclasses
 import json
 import random
 import unittest
@@ -58,6 +59,19 @@
         self.assertEqual(seen["treatment"], "ramped: it returned cold")
         self.assertEqual(seen["ramp_fraction"], 0.55)
 
+    def test_mark_in_the_set(self):
+        """Guards against a replica that the set takes out of use without a reason."""
+        replicas = self.state.objects_.replicas
+        self.assertEqual(self.replica(0.0)["observed"], {"treatment": "not used yet"})
+        name = "archivo-01-a"
+        replicas[name] = dataclasses.replace(replicas[name], leaving=True)
+        expected = "no new work: it is marked as leaving in the set"
+        self.assertEqual(self.replica(0.0)["observed"]["treatment"], expected)
+        self.table.on_answer(name, 0.01, None, 0.0)
+        self.assertEqual(self.replica(0.0)["observed"]["treatment"], expected)
+        rows = status(self.state, 0.0)["replicas"]["not_as_usual"]
+        self.assertEqual(rows, [{"replica": name, "treatment": expected}])
+
     def test_ejection_share_and_limit(self):
         """Guards against limits that differ from those in use."""
         self.table.on_failure("archivo-01-a", FailureKind.CRASH, 0.0)
--- a/jackdawsill/routing/_views.py
+++ b/jackdawsill/routing/_views.py
@@ -6,6 +6,8 @@
 from jackdawsill.routing._replica import RAMP_S, ReplicaState
 from jackdawsill.routing._table import ReplicaTable
 
+MARKED = "no new work: it is marked as leaving in the set"
+
 
 @status_section("replicas")
 def replica_status(state: HostState, now: float) -> dict[str, Any]:
@@ -13,23 +15,30 @@
     table = state.parts_.get(ReplicaTable)
     if table is None:
         return {}
+    treatments = {n: treatment(seen, now) for n, seen in table.replicas_.items()}
+    known = {} if state.objects_ is None else state.objects_.replicas
+    treatments |= {name: MARKED for name, r in known.items() if r.leaving}
     treated = [
-        {"replica": name, "treatment": treatment(seen, now)}
-        for name, seen in sorted(table.replicas_.items())
-        if treatment(seen, now) != "in use"
+        {"replica": name, "treatment": text}
+        for name, text in sorted(treatments.items())
+        if text != "in use"
     ]
     return {"n_observed": len(table.replicas_), "not_as_usual": treated}
 
 
 @explains("replica", "observed")
 def explain_replica(state: HostState, name: str, now: float) -> dict[str, Any] | None:
-    """Return what this host has seen of a replica; None before the first use."""
+    """Return what this host has seen of a replica; None if it is unknown."""
     table = state.parts_.get(ReplicaTable)
+    known = None if state.objects_ is None else state.objects_.replicas.get(name)
     seen = None if table is None else table.replicas_.get(name)
     if seen is None:
-        return None
+        if known is None:
+            return None
+        return {"treatment": MARKED if known.leaving else "not used yet"}
+    is_marked = known is not None and known.leaving
     return {
-        "treatment": treatment(seen, now),
+        "treatment": MARKED if is_marked else treatment(seen, now),
         "in_flight": seen.in_flight,
         "latency_ms": round(seen.latency_s * 1000.0, 3),
         "failures_in_a_row": seen.n_failures,
