--- a/jackdawsill/query/_model.py
+++ b/jackdawsill/query/_model.py
@@ -36,6 +36,7 @@
 
     shard: Shard
     hedge_at: float = float("inf")
+    is_hedge_checked: bool = False  # was due for a hedge, sent or not
     n_attempts: int = 0
     n_shed: int = 0
     tried: tuple[str, ...] = ()
@@ -74,6 +75,7 @@
     n_needed: int = 0
     n_canary_crashes: int = 0
     n_shed: int = 0
+    n_shed_locally: int = 0  # by services that shed too much for a retry
     n_declined: int = 0
     n_answered: int = 0
     latency_sum_s: float = 0.0
