--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(PY) -m jackdawsill.matrix
 
 bench: $(STAMP)
-	$(PY) -m benchmarks.fanout
+	$(PY) -m benchmarks.fanout $(BENCH_ARGS)
 
 slopes: $(STAMP)
 	$(PY) -m benchmarks.slopes
--- /dev/null
+++ b/benchmarks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the load tool."""
