--- a/jackdawsill/query/_wait.py
+++ b/jackdawsill/query/_wait.py
@@ -22,10 +22,16 @@
     start_same,
 )
 from jackdawsill.query._cancel import cancel_sub, end_canary
+from jackdawsill.query._hedge import hedge_last
 from jackdawsill.query._log_events import BAD_ANSWER
 from jackdawsill.query._model import Query, ShardTask, SubRequest
 from jackdawsill.query._parts import parts_of
-from jackdawsill.query._room import TAIL_FRACTION, leave_window, use_room
+from jackdawsill.query._room import (
+    TAIL_FRACTION,
+    leave_window,
+    use_room,
+    waits_for_few,
+)
 from jackdawsill.query._send import (
     arm,
     send_shard,
@@ -72,7 +78,10 @@
     if task.subs:
         _cancel_losers(state, task, now, out)
     table.close(query, task)
-    if len(query.open) <= TAIL_FRACTION * len(query.tasks):
+    hedge_last(query, now, out)
+    if len(query.open) <= TAIL_FRACTION * len(query.tasks) or waits_for_few(
+        state, query, now
+    ):
         leave_window(state, query, now, out)
     if sub.is_canary:
         on_canary_answered(state, query, now, out)
@@ -167,9 +176,9 @@
     elif kind is FailureKind.SHED:
         query.n_shed += 1
         state.part(ConcurrencyLimits).on_shed(replica, query.n_slots, now)
-        state.part(ShedWatch).on_shed(service, now)
-    elif kind is FailureKind.DRAINING:
-        out.extend(spread_leaving(state, replica, "draining refusal", now))
+        watch = state.part(ShedWatch)
+        watch.on_shed(service, now)
+        query.n_shed_locally += watch.is_shedding(service, now)
     elif kind is FailureKind.DECLINED:
         state.part(SnapshotTable).on_declined(
             query.snapshot, service, replica, event.servable, state.objects_, now
@@ -177,6 +186,8 @@
         if not sub.task.was_declined:
             sub.task.was_declined = True
             query.n_declined += 1
+    if kind is FailureKind.DRAINING or event.draining:
+        out.extend(spread_leaving(state, replica, "draining refusal", now))
 
 
 def _cancel_losers(
@@ -236,6 +247,8 @@
     if kind is FailureKind.SHED:
         task.n_shed += 1
         defer(state, query, task, now, out)
+        if waits_for_few(state, query, now):
+            leave_window(state, query, now, out)
         return
     coverage = query.is_coverage_first
     n_max = N_ATTEMPTS_COVERAGE if coverage else N_ATTEMPTS_LATENCY
--- a/jackdawsill/query/tests/test_failures.py
+++ b/jackdawsill/query/tests/test_failures.py
@@ -11,9 +11,10 @@
     TimerFired,
 )
 from jackdawsill.exceptions import Outcome
+from jackdawsill.limits import AdmissionQueue
 from jackdawsill.query import NothingCovered, Overloaded
 from jackdawsill.query.tests.fakes import World, object_set
-from jackdawsill.routing import LeavingNotice
+from jackdawsill.routing import LeavingNotice, ReplicaTable
 from jackdawsill.snapshots import ServableNotice, SnapshotTable
 
 
@@ -92,6 +93,24 @@
         world.run(until=world.now + 0.03)
         self.assertEqual(len(world.sent), n_sent)
 
+    def test_one_shedding_service(self):
+        """Guards against one service that makes the host refuse queries to all."""
+        world = World(object_set(10, 10, n_slots=8))
+        world.behave = lambda r, s: (
+            (0.002, FailureKind.SHED) if s.shard == "s001" else (0.01, None)
+        )
+        world.ask()
+        window = world.state.part(AdmissionQueue).groups_["g"].window
+        n_allowed = window.n_allowed()
+        for _ in range(50):
+            world.run()
+            query_id = world.ask()
+            world.run()
+        missing = world.answer_of(query_id).missing
+        self.assertEqual([(m.shard, m.reason) for m in missing], [("s001", "shed")])
+        # The first sheds count, since they are no trend yet.
+        self.assertGreaterEqual(window.n_allowed(), n_allowed / 2)
+
     def test_extra_load_is_bounded(self):
         """Guards against hedges beyond the caller's budget."""
         world = World(object_set(26, 140, n_slots=40))
@@ -125,6 +144,54 @@
         losers = [s.shard for s in world.sent[n_sent:] if s.sub_id in world.cancelled]
         self.assertEqual(losers, ["s007"])
 
+    def test_busy_host_sends_no_hedges(self):
+        """Guards against hedges for a delay that meets all shards alike."""
+        world = World(object_set(26, 140))
+        for _ in range(20):
+            world.ask()
+            world.run()
+        world.behave = lambda r, s: (0.025, None)
+        n_sent = len(world.sent)
+        world.ask()
+        world.run()
+        self.assertEqual(len(world.sent) - n_sent, 140)
+
+    def test_hanging_replicas_are_hedged(self):
+        """Guards against a hang of many replicas that is taken for a busy host."""
+        world = World(object_set(26, 140))
+        for _ in range(20):
+            world.ask()
+            world.run()
+        world.behave = lambda r, s: (0.01 if r[-1] != "0" else 5.0, None)
+        n_sent = len(world.sent)
+        world.ask()
+        world.run()
+        self.assertGreater(len(world.sent) - n_sent, 145)
+
+    def test_lost_domain_takes_no_hedges(self):
+        """Guards against hedge tokens spent on replicas that are known to be lost."""
+        world = World(object_set(10, 10))
+        for _ in range(100):
+            world.ask()
+            world.run()
+        # The first two sub-requests for each shard are stragglers.
+        n_tries = {}
+
+        def behave(replica, send):
+            n_tries[send.shard] = n_tries.get(send.shard, 0) + 1
+            return (0.2 if n_tries[send.shard] <= 2 else 0.01), None
+
+        world.behave = behave
+        lost = {r for r in world.state.objects_.replicas if r[-1] == "2"}
+        for replica in lost:
+            routing = world.state.part(ReplicaTable)
+            routing.on_failure(replica, FailureKind.CONNECT, world.now)
+        n_sent = len(world.sent)
+        world.ask(policy=Policy.COVERAGE)
+        world.run(until=world.now + 0.3)
+        self.assertGreater(len(world.sent) - n_sent, 10)
+        self.assertFalse(lost & {send.replica for send in world.sent[n_sent:]})
+
     def test_leaving_replica(self):
         """Guards against work for a leaving replica here and at the peers."""
         world = World()
@@ -246,6 +313,26 @@
         notices = [m for m in world.peer_messages if isinstance(m, ServableNotice)]
         self.assertEqual([n.snapshot for n in notices], ["v1", "v2"])
 
+    def test_few_replicas_take_no_new_snapshot(self):
+        """Guards against all queries going to the first replicas of a new index."""
+        world = World(object_set(versions=(1, 2)))
+        moved = {"0"}
+
+        def behave(replica, send):
+            serves = "v2" if replica[-1] in moved else "v1"
+            if send.snapshot != serves:
+                return 0.002, SubFailed(send.sub_id, FailureKind.DECLINED, (serves,))
+            return 0.01, None
+
+        world.behave = behave
+        for last, snapshot in (("0", "v1"), ("1", "v2")):
+            moved.add(last)
+            ids = [world.ask(at=world.now + 0.1 * i) for i in range(80)]
+            world.run()
+            answers = [world.answer_of(query_id).snapshot for query_id in ids[-20:]]
+            # The others are probes; without the decision 11 of 20 answer v1.
+            self.assertGreaterEqual(answers.count(snapshot), 15, answers)
+
     def test_notice_of_a_servable_snapshot(self):
         """Guards against notices that go round for ever or name nothing known."""
         world = World(object_set(versions=(1, 2)))
