--- a/jackdawsill/membership/_messages.py
+++ b/jackdawsill/membership/_messages.py
@@ -25,7 +25,7 @@
     reporter: str
 
 
-@register_message("hello")
+@register_message("Hello")
 @dataclass(slots=True, frozen=True)
 class Hello(PeerMessage):
     """First message of each side of a link; `nonce` is new for each link."""
@@ -39,7 +39,7 @@
     brief: bool = False  # opened for one exchange, not kept as a link
 
 
-@register_message("hello_proof")
+@register_message("HelloProof")
 @dataclass(slots=True, frozen=True)
 class HelloProof(PeerMessage):
     """Keyed hash over the sender's `Hello` and the receiver's nonce."""
@@ -47,19 +47,19 @@
     authenticator: bytes
 
 
-@register_message("ping")
+@register_message("Ping")
 @dataclass(slots=True, frozen=True)
 class Ping(PeerMessage):
     """Ask for a `Pong`."""
 
 
-@register_message("pong")
+@register_message("Pong")
 @dataclass(slots=True, frozen=True)
 class Pong(PeerMessage):
     """Answer a `Ping`."""
 
 
-@register_message("member_change")
+@register_message("MemberChange")
 @dataclass(slots=True, frozen=True)
 class MemberChange(PeerMessage):
     """Records of members that joined or left, and counts that were raised.
@@ -72,7 +72,7 @@
     raised: dict[str, int] = field(default_factory=dict)
 
 
-@register_message("evidence")
+@register_message("Evidence")
 @dataclass(slots=True, frozen=True)
 class Evidence(PeerMessage):
     """Reports of hosts that get no answer from other hosts."""
@@ -80,7 +80,7 @@
     items: tuple[EvidenceItem, ...]
 
 
-@register_message("refutation")
+@register_message("Refutation")
 @dataclass(slots=True, frozen=True)
 class Refutation(PeerMessage):
     """The sender is alive; the count makes evidence with a lower one void."""
@@ -88,7 +88,7 @@
     record: MemberRecord
 
 
-@register_message("tombstone")
+@register_message("Tombstone")
 @dataclass(slots=True, frozen=True)
 class Tombstone(PeerMessage):
     """The tickets of a stopped incarnation were handed to `successor`."""
@@ -98,7 +98,7 @@
     remaining_s: float  # a copy never outlives the original
 
 
-@register_message("digest_offer")
+@register_message("DigestOffer")
 @dataclass(slots=True, frozen=True)
 class DigestOffer(PeerMessage):
     """Digest of the sender's live members and tombstones, and its generation."""
@@ -110,7 +110,7 @@
     n_pauses: int  # echoed, so that a reply from before a pause confirms nothing
 
 
-@register_message("digest_reply")
+@register_message("DigestReply")
 @dataclass(slots=True, frozen=True)
 class DigestReply(PeerMessage):
     """Answer to an offer; `buckets` is empty if the digests are equal."""
@@ -123,7 +123,7 @@
     n_pauses: int
 
 
-@register_message("digest_detail")
+@register_message("DigestDetail")
 @dataclass(slots=True, frozen=True)
 class DigestDetail(PeerMessage):
     """Live incarnations and refutation counts in the buckets that differ."""
@@ -132,7 +132,7 @@
     live: dict[str, int]
 
 
-@register_message("record_request")
+@register_message("RecordRequest")
 @dataclass(slots=True, frozen=True)
 class RecordRequest(PeerMessage):
     """Ask for the records of incarnations that the sender does not know."""
@@ -140,7 +140,7 @@
     incarnations: tuple[str, ...]
 
 
-@register_message("leave")
+@register_message("Leave")
 @dataclass(slots=True, frozen=True)
 class Leave(PeerMessage):
     """The sender stops; it opens no links and refutes nothing any more."""
--- a/jackdawsill/membership/tests/test_membership.py
+++ b/jackdawsill/membership/tests/test_membership.py
@@ -139,7 +139,7 @@
                 msgpack.unpackb(wire), type(sample), builtin_types=(bytes,)
             )
             self.assertEqual(found, sample)
-        self.assertIs(MESSAGES["hello"], Hello)
+        self.assertIs(MESSAGES["Hello"], Hello)
 
 
 class TestTable(unittest.TestCase):
--- a/jackdawsill/quarantine/_messages.py
+++ b/jackdawsill/quarantine/_messages.py
@@ -23,7 +23,7 @@
     remaining_s: float
 
 
-@register_message("suspicion_notice")
+@register_message("SuspicionNotice")
 @dataclass(slots=True, frozen=True)
 class SuspicionNotice(PeerMessage):
     """Crashes, so that a resend through another host runs as a canary."""
@@ -31,7 +31,7 @@
     items: tuple[CrashItem, ...]
 
 
-@register_message("quarantine_notice")
+@register_message("QuarantineNotice")
 @dataclass(slots=True, frozen=True)
 class QuarantineNotice(PeerMessage):
     """Fingerprints that every host refuses."""
--- a/jackdawsill/spread/_messages.py
+++ b/jackdawsill/spread/_messages.py
@@ -8,7 +8,7 @@
 CHUNK_BYTES = 63 * 1024
 
 
-@register_message("generation_notice")
+@register_message("GenerationNotice")
 @dataclass(slots=True, frozen=True)
 class GenerationNotice(PeerMessage):
     """The sender accepted a generation."""
@@ -17,7 +17,7 @@
     digest: str
 
 
-@register_message("manifest_request")
+@register_message("ManifestRequest")
 @dataclass(slots=True, frozen=True)
 class ManifestRequest(PeerMessage):
     """Ask for part of the manifest of a generation."""
@@ -27,7 +27,7 @@
     offset: int
 
 
-@register_message("manifest_reply")
+@register_message("ManifestReply")
 @dataclass(slots=True, frozen=True)
 class ManifestReply(PeerMessage):
     """Part of a manifest; `size` is 0 if the sender does not hold it."""
@@ -39,7 +39,7 @@
     data: bytes
 
 
-@register_message("value_request")
+@register_message("ValueRequest")
 @dataclass(slots=True, frozen=True)
 class ValueRequest(PeerMessage):
     """Ask for part of a value."""
@@ -48,7 +48,7 @@
     offset: int
 
 
-@register_message("value_chunk")
+@register_message("ValueChunk")
 @dataclass(slots=True, frozen=True)
 class ValueChunk(PeerMessage):
     """Part of a value; `size` is 0 if the sender does not hold it."""
