Ask replicas again when all of a service are believed to decline

A service whose replicas were all marked as declining was asked by nobody until the marks expired after 5 s. The new test fails without the change.

--- a/jackdawsill/query/_pick.py
+++ b/jackdawsill/query/_pick.py
@@ -36,6 +36,8 @@
         )
     if replica is None and not is_hedge:
         replica = routing.pick(service, exclude, objects, now, state.rng)
+    if replica is None and declined and not is_hedge:
+        replica = _recheck(state, query, task, now)
     if replica is None:
         return None, False
     if _has_room(parts, query, replica.name, now):
@@ -50,6 +52,18 @@
     return min(others, key=lambda r: routing.state_of(r.name).cost(now)), False
 
 
+def _recheck(
+    state: HostState, query: Query, task: ShardTask, now: float
+) -> Replica | None:
+    """Return a replica that declined earlier, where only such replicas are left."""
+    parts = parts_of(state)
+    service = task.shard.service
+    assert query.snapshot is not None
+    if not parts.snapshots.may_recheck(query.snapshot.name, service, now):
+        return None
+    return parts.routing.pick(service, task.tried, state.objects_, now, state.rng)
+
+
 def declining(
     state: HostState, query: Query, task: ShardTask, now: float
 ) -> tuple[str, ...]:
--- a/jackdawsill/query/tests/test_failures.py
+++ b/jackdawsill/query/tests/test_failures.py
@@ -339,6 +339,21 @@
             n_probes = math.ceil(20 * 0.1 / PROBE_INTERVAL_S)
             self.assertGreaterEqual(answers.count(snapshot), 20 - 2 * n_probes, answers)
 
+    def test_outdated_declines_of_one_service(self):
+        """Guards against a shard that is missed until old declines expire."""
+        world = World(object_set(20, 20, versions=(1, 2)))
+        table = world.state.part(SnapshotTable)
+        world.ask()
+        world.run()
+        service = world.objects.snapshots["v2"].shards[0].service
+        for replica in world.objects.replicas_of(service):
+            table._decline("v2", service, replica.name, world.now)
+        ids = [world.ask(at=world.now + 0.1 * i) for i in range(5)]
+        world.run()
+        answers = [world.answer_of(query_id) for query_id in ids]
+        self.assertEqual([a.snapshot for a in answers], ["v2"] * 5)
+        self.assertTrue(all(a.complete for a in answers))
+
     def test_notice_of_a_servable_snapshot(self):
         """Guards against notices that go round for ever or name nothing known."""
         world = World(object_set(versions=(1, 2)))
--- a/jackdawsill/snapshots/_table.py
+++ b/jackdawsill/snapshots/_table.py
@@ -15,6 +15,9 @@
 # A replica loads a new index without notice, so a decline is believed only for
 # this time; each expiry costs at most one more declined sub-request.
 DECLINE_TTL_S = 5.0
+# A service whose replicas are all believed to decline is asked again this often;
+# otherwise each query would miss its shard until the declines expire.
+RECHECK_INTERVAL_S = 0.05
 # Time between two probing queries on a snapshot that was found not servable.
 PROBE_INTERVAL_S = 1.0
 # A probe whose query never reported an end is given up after this time.
@@ -30,6 +33,8 @@
     next_probe_at: float = float("-inf")
     # service -> replica -> time at which the decline expires
     declines: dict[str, dict[str, float]] = field(default_factory=dict)
+    # service -> time of the last recheck
+    rechecked: dict[str, float] = field(default_factory=dict)
     checked_at: float = float("-inf")
     servable: bool = True
     # Fraction of the replicas, over all shards, not known to decline.
@@ -133,6 +138,14 @@
             return ()
         return tuple(name for name, until in declined.items() if until > now)
 
+    def may_recheck(self, snapshot: str, service: str, now: float) -> bool:
+        """Tell whether replicas that declined may be asked again, and count it."""
+        seen = self._observed(snapshot)
+        if now - seen.rechecked.get(service, float("-inf")) < RECHECK_INTERVAL_S:
+            return False
+        seen.rechecked[service] = now
+        return True
+
     def newest_servable(
         self, group: str, objects: ObjectSet, now: float, exclude: Collection[str] = ()
     ) -> Snapshot | None:
