--- a/jackdawsill/spread/_pull.py
+++ b/jackdawsill/spread/_pull.py
@@ -27,6 +27,14 @@
     digest: str
 
 
+@dataclass(slots=True)
+class Blame:
+    """Until when a source is not asked for a set that it failed to give."""
+
+    until: float
+    wait_s: float
+
+
 class Pull:
     """Fetch one set piece by piece, with one request outstanding."""
 
--- a/jackdawsill/spread/_spread.py
+++ b/jackdawsill/spread/_spread.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from jackdawsill.core import Count, Effect, LogEvent, Raise, SetAccepted
@@ -12,7 +11,7 @@
 from jackdawsill.spread._joining import Joining
 from jackdawsill.spread._manifest import parse_manifest
 from jackdawsill.spread._messages import ManifestReply, ValueChunk
-from jackdawsill.spread._pull import SERVICE, Offer, Pull
+from jackdawsill.spread._pull import SERVICE, Blame, Offer, Pull
 from jackdawsill.spread._service import ServiceReader
 
 if TYPE_CHECKING:
@@ -32,14 +31,6 @@
 ALL_UNCONFIRMED_S = 10.0
 
 
-@dataclass(slots=True)
-class Blame:
-    """Until when a source is not asked for a set that it failed to give."""
-
-    until: float
-    wait_s: float
-
-
 class ConfigSpread:
     """Own the accepted generation and how it is confirmed.
 
