--- a/jackdawsill/matrix/tests/test_matrix.py
+++ b/jackdawsill/matrix/tests/test_matrix.py
@@ -4,7 +4,14 @@
 import unittest
 from unittest import mock
 
-from jackdawsill.core import NOT_RUN_KINDS, Exit, FailureKind, SetReadiness
+from jackdawsill.core import (
+    NOT_RUN_KINDS,
+    Answer,
+    Exit,
+    FailureKind,
+    MissingShard,
+    SetReadiness,
+)
 from jackdawsill.matrix import (
     FAULTS,
     STEPS,
@@ -15,6 +22,8 @@
     single_cells,
 )
 from jackdawsill.matrix._build import build_host
+from jackdawsill.matrix._invariants import check_recovery
+from jackdawsill.matrix._journal import Attempt, Journal, Reply
 from jackdawsill.query import _deliver, _wait
 from jackdawsill.query._merge import merge
 from jackdawsill.query._model import Query
@@ -148,6 +157,20 @@
             self.assert_caught("replies", run("straggler", "query", "admit"))
 
 
+class TestRecovery(unittest.TestCase):
+    """Guards the check of recovery, which no single broken decision stands for."""
+
+    def test_journals_without_recovery(self):
+        """Guards against a fleet that stays down or partial and passes."""
+        self.assertTrue(check_recovery(Journal(), {}))
+        attempt = Attempt("ana", "search", b"{}", "h1", 1.0, 0.34)
+        self.assertTrue(check_recovery(Journal(final=[attempt]), {}))
+        missing = (MissingShard("s0", "connect"),)
+        answer = Answer("r", "search", "archivo-1", 1, False, (), missing, ())
+        attempt.replies.append(Reply(1.1, "h1", answer=answer))
+        self.assertTrue(check_recovery(Journal(final=[attempt]), {}))
+
+
 class TestRegistries(unittest.TestCase):
     """Guards the size of the matrix."""
 
--- a/jackdawsill/query/_bind.py
+++ b/jackdawsill/query/_bind.py
@@ -41,8 +41,12 @@
     """
     old = query.snapshot
     assert old is not None
-    query.is_restarted = True
     snapshots = state.part(SnapshotTable)
+    if snapshots.newest_servable(query.route.group, state.objects_, now) is old:
+        # Some replicas have moved on, but enough still serve it. A restart would
+        # send all queries of the next second to the few that have moved.
+        return False
+    query.is_restarted = True
     new = snapshots.bind(query.route.group, state.objects_, now, (old.name,))
     if new is None:
         return False
--- a/jackdawsill/query/tests/test_failures.py
+++ b/jackdawsill/query/tests/test_failures.py
@@ -334,10 +334,9 @@
             ids = [world.ask(at=world.now + 0.1 * i) for i in range(80)]
             world.run()
             answers = [world.answer_of(query_id).snapshot for query_id in ids[-20:]]
-            # Probes of the other snapshot are allowed, one each PROBE_INTERVAL_S, and
-            # a probe that meets it in part may move one more query.
+            # One probe of the other snapshot is allowed each PROBE_INTERVAL_S.
             n_probes = math.ceil(20 * 0.1 / PROBE_INTERVAL_S)
-            self.assertGreaterEqual(answers.count(snapshot), 20 - 2 * n_probes, answers)
+            self.assertGreaterEqual(answers.count(snapshot), 20 - n_probes, answers)
 
     def test_outdated_declines_of_one_service(self):
         """Guards against a shard that is missed until old declines expire."""
