--- a/jackdawsill/core/_events.py
+++ b/jackdawsill/core/_events.py
@@ -21,6 +21,7 @@
     DRAINING = "draining"  # not run
     STARTING = "starting"  # not run
     DECLINED = "declined"  # the replica does not serve the snapshot, not run
+    MISDIRECTED = "misdirected"  # another process has the address, not run
     CRASH = "crash"  # connection lost after sending, without notice
     TIMEOUT = "timeout"  # sent, no answer before the deadline
     BAD_ANSWER = "bad_answer"  # truncated, oversized, or for another request
@@ -35,6 +36,7 @@
         FailureKind.DRAINING,
         FailureKind.STARTING,
         FailureKind.DECLINED,
+        FailureKind.MISDIRECTED,
     }
 )
 
--- a/jackdawsill/daemon/__init__.py
+++ b/jackdawsill/daemon/__init__.py
@@ -1,9 +1,8 @@
 """The daemon: sockets and timers to events, effects to actions."""
 
 from jackdawsill.daemon._build import build_state
-from jackdawsill.daemon._driver import Driver
 from jackdawsill.daemon._main import main
 from jackdawsill.daemon._process import HostProcess
-from jackdawsill.daemon._runtime import tune_gc
+from jackdawsill.runtime import Driver, tune_gc
 
 __all__ = ["Driver", "HostProcess", "build_state", "main", "tune_gc"]
--- a/jackdawsill/daemon/_caller_server.py
+++ b/jackdawsill/daemon/_caller_server.py
@@ -6,12 +6,10 @@
 from sanic import Request
 from sanic.response import HTTPResponse
 
-from jackdawsill.core import CallerLeft, SetReadiness
-from jackdawsill.daemon._driver import Driver
+from jackdawsill.core import CallerLeft, Event, QueryArrived, SetReadiness
 from jackdawsill.daemon._errors import (
     HostBusy,
     HostClosing,
-    InternalFault,
     NoReply,
 )
 from jackdawsill.daemon._http_server import HttpServer, to_response
@@ -19,6 +17,7 @@
 from jackdawsill.daemon._replies import Replies, Reply, refusal
 from jackdawsill.daemon._requests import check_request
 from jackdawsill.exceptions import JackdawsillError
+from jackdawsill.runtime import Driver, InternalFault
 from jackdawsill.settings import LimitSettings
 
 # Added to the longest deadline, it bounds the wait for a reply.
@@ -48,7 +47,7 @@
         self.http.app.add_route(
             self._healthz, "/healthz", methods=["GET"], name="health"
         )
-        driver.on_query_fault = self._on_query_fault
+        driver.on_fault = self._on_fault
 
     def set_readiness(self, effect: SetReadiness) -> None:
         """Carry out `SetReadiness`."""
@@ -109,9 +108,10 @@
     def _on_unclaimed(self, query_id: int) -> None:
         self.driver.log(LATE_REPLY, query_id=query_id)
 
-    def _on_query_fault(self, query_id: int, error: InternalFault) -> None:
+    def _on_fault(self, event: Event, error: InternalFault) -> None:
         """Refuse a request whose handler failed before anything was sent."""
-        self.replies.resolve(query_id, refusal(error))
+        if isinstance(event, QueryArrived):
+            self.replies.resolve(event.query_id, refusal(error))
 
     def _on_no_reply(self, query_id: int) -> None:
         """Answer a request that no component replied to."""
--- a/jackdawsill/daemon/_errors.py
+++ b/jackdawsill/daemon/_errors.py
@@ -18,11 +18,6 @@
     """No resource has this path."""
 
 
-@register_error(5003, status=500)
-class InternalFault(JackdawsillError):
-    """A handler failed before any sub-request of the query was sent."""
-
-
 @register_error(5004, status=504, outcome=Outcome.OUTCOME_UNKNOWN)
 class NoReply(JackdawsillError):
     """No component replied to the request in time."""
--- a/jackdawsill/daemon/_http_server.py
+++ b/jackdawsill/daemon/_http_server.py
@@ -13,12 +13,12 @@
 from jackdawsill.daemon._errors import (
     BadRequest,
     BodyTooLarge,
-    InternalFault,
     MethodNotAllowed,
     UnknownPath,
 )
 from jackdawsill.daemon._replies import Reply, refusal
 from jackdawsill.exceptions import JackdawsillError, Outcome
+from jackdawsill.runtime import InternalFault
 
 JSON_TYPE = "application/json"
 BACKLOG = 1024
--- a/jackdawsill/daemon/_links.py
+++ b/jackdawsill/daemon/_links.py
@@ -13,10 +13,10 @@
     SendPeer,
 )
 from jackdawsill.daemon._addresses import join_address, split_address
-from jackdawsill.daemon._driver import Driver
 from jackdawsill.daemon._log_events import BAD_PEER_MESSAGE
 from jackdawsill.exceptions import JackdawsillError
 from jackdawsill.peers import Decoder, PeerMessage, encode
+from jackdawsill.runtime import Driver
 
 CONNECT_TIMEOUT_S = 2.0
 # A peer that reads this slowly is as good as lost; closing the link bounds memory.
--- a/jackdawsill/daemon/_log_events.py
+++ b/jackdawsill/daemon/_log_events.py
@@ -14,20 +14,6 @@
 STOPPED = register_log_event(
     5001, "host-stopped", "host {name} ended", "The host wrote its last reply."
 )
-HANDLER_FAILED = register_log_event(
-    5002,
-    "handler-failed",
-    "handler of {event} failed: {detail}",
-    "A reducer handler raised an exception; its effects are lost.",
-    logbook.ERROR,
-)
-EFFECT_FAILED = register_log_event(
-    5003,
-    "effect-failed",
-    "effect {effect} failed: {detail}",
-    "The daemon could not carry out an effect.",
-    logbook.ERROR,
-)
 BAD_CALLER_INPUT = register_log_event(
     5004,
     "bad-caller-input",
@@ -76,13 +62,6 @@
     "A reply was made for a request that has ended.",
     logbook.DEBUG,
 )
-UNKNOWN_EFFECT = register_log_event(
-    5010,
-    "unknown-effect",
-    "no action is registered for effect {effect}",
-    "The daemon was given an effect of a class it does not know.",
-    logbook.ERROR,
-)
 START_FAILED = register_log_event(
     5011,
     "start-failed",
--- a/jackdawsill/daemon/_main.py
+++ b/jackdawsill/daemon/_main.py
@@ -12,8 +12,8 @@
 
 from jackdawsill.daemon._log_events import START_FAILED
 from jackdawsill.daemon._process import HostProcess
-from jackdawsill.daemon._runtime import tune_gc
 from jackdawsill.logs import JsonHandler, log_event
+from jackdawsill.runtime import tune_gc
 from jackdawsill.settings import (
     SETTINGS_INVALID,
     SETTINGS_LOADED,
--- a/jackdawsill/daemon/_operator_server.py
+++ b/jackdawsill/daemon/_operator_server.py
@@ -9,11 +9,11 @@
 
 from jackdawsill.core import EXPLAINS, REPORTS, explain, status
 from jackdawsill.daemon import _views  # noqa: F401  registers the daemon's views
-from jackdawsill.daemon._driver import Driver
 from jackdawsill.daemon._errors import UnknownPath
 from jackdawsill.daemon._http_server import JSON_TYPE, HttpServer
 from jackdawsill.daemon._log_events import BAD_CALLER_INPUT
 from jackdawsill.exceptions import JackdawsillError
+from jackdawsill.runtime import Driver
 
 
 class OperatorServer:
--- a/jackdawsill/daemon/_platform.py
+++ b/jackdawsill/daemon/_platform.py
@@ -15,8 +15,8 @@
     ReadHostList,
 )
 from jackdawsill.daemon._bodies import read_limited
-from jackdawsill.daemon._driver import Driver
 from jackdawsill.daemon._log_events import HOST_LIST_BACK, HOST_LIST_FAILED
+from jackdawsill.runtime import Driver
 
 MAX_VALUE_BYTES = 1024 * 1024
 # A list entry takes about 150 bytes; 4 MB hold over 20,000 hosts.
--- a/jackdawsill/daemon/tests/test_links.py
+++ b/jackdawsill/daemon/tests/test_links.py
@@ -19,11 +19,11 @@
     PeerMessageRead,
     SendPeer,
 )
-from jackdawsill.daemon._driver import Driver
 from jackdawsill.daemon._http_server import listening_socket
 from jackdawsill.daemon._links import LinkSet
 from jackdawsill.daemon.tests._fixtures import WAIT_S
 from jackdawsill.peers import MAX_MESSAGE_BYTES, MESSAGES, PeerMessage, encode
+from jackdawsill.runtime import Driver
 from jackdawsill.standins import LOOPBACK
 
 
--- a/jackdawsill/daemon/tests/test_platform.py
+++ b/jackdawsill/daemon/tests/test_platform.py
@@ -15,9 +15,9 @@
     ReadConfig,
     ReadHostList,
 )
-from jackdawsill.daemon._driver import Driver
 from jackdawsill.daemon._platform import PlatformReader
 from jackdawsill.daemon.tests._fixtures import WAIT_S, RawServer
+from jackdawsill.runtime import Driver
 from jackdawsill.standins import ConfigService, HostList
 
 
--- /dev/null
+++ b/jackdawsill/forwarding/__init__.py
@@ -0,0 +1,94 @@
+"""Forwarded calls: routes, live replicas, attempts, merged answers."""
+
+from jackdawsill.forwarding import (  # noqa: F401
+    _admit,
+    _beliefs,
+    _outcomes,
+)
+from jackdawsill.forwarding._budget import RetryBudget
+from jackdawsill.forwarding._calls import CallTable
+from jackdawsill.forwarding._catalog import RouteCatalog
+from jackdawsill.forwarding._crashes import CrashEvidence
+from jackdawsill.forwarding._effects import (
+    AbortAttempt,
+    CheckStore,
+    CloseCallers,
+    DropIdleConnections,
+    DropReplica,
+    PassAnswer,
+    RefuseCall,
+    SendAttempt,
+    SendMerged,
+)
+from jackdawsill.forwarding._events import (
+    PEER,
+    STORE,
+    AttemptAnswered,
+    AttemptFailed,
+    CallAbandoned,
+    CallArrived,
+    ReplicasChanged,
+    ReplicasListed,
+    RoutesRead,
+    StoreLost,
+    StoreRegained,
+)
+from jackdawsill.forwarding._finish import CALL_SECONDS, greatest_records
+from jackdawsill.forwarding._life import GatewayLife, GatewayPhase
+from jackdawsill.forwarding._model import (
+    CallerLimits,
+    ForwardRequest,
+    ForwardRoute,
+    Headers,
+    MergedAnswer,
+    ReplicaAnswer,
+    ReplicaEntry,
+    RouteSet,
+    WeightedService,
+)
+from jackdawsill.forwarding._policy import ForwardingPolicy
+from jackdawsill.forwarding._registry import ReplicaRegistry
+from jackdawsill.forwarding._replica import LiveReplica
+
+__all__ = [
+    "CALL_SECONDS",
+    "PEER",
+    "STORE",
+    "AbortAttempt",
+    "AttemptAnswered",
+    "AttemptFailed",
+    "CallAbandoned",
+    "CallArrived",
+    "CallTable",
+    "CallerLimits",
+    "CheckStore",
+    "CloseCallers",
+    "CrashEvidence",
+    "DropIdleConnections",
+    "DropReplica",
+    "ForwardRequest",
+    "ForwardRoute",
+    "ForwardingPolicy",
+    "GatewayLife",
+    "GatewayPhase",
+    "Headers",
+    "LiveReplica",
+    "MergedAnswer",
+    "PassAnswer",
+    "RefuseCall",
+    "ReplicaAnswer",
+    "ReplicaEntry",
+    "ReplicaRegistry",
+    "ReplicasChanged",
+    "ReplicasListed",
+    "RetryBudget",
+    "RouteCatalog",
+    "RouteSet",
+    "RoutesRead",
+    "SendAttempt",
+    "SendMerged",
+    "StoreLost",
+    "StoreRegained",
+    "WeightedService",
+    "greatest_records",
+]
--- /dev/null
+++ b/jackdawsill/forwarding/_admit.py
@@ -0,0 +1,110 @@
+"""Arrival of calls: route, deadline, and the first attempts."""
+
+from jackdawsill.core import Effect, HostState, LogEvent, handles
+from jackdawsill.exceptions import JackdawsillError
+from jackdawsill.forwarding import _errors as errors
+from jackdawsill.forwarding import _log_events as log_events
+from jackdawsill.forwarding._calls import Call, CallTable, Part
+from jackdawsill.forwarding._catalog import RouteCatalog
+from jackdawsill.forwarding._crashes import CrashEvidence, fingerprint
+from jackdawsill.forwarding._dispatch import call_timer, send_first
+from jackdawsill.forwarding._effects import RefuseCall
+from jackdawsill.forwarding._events import CallArrived
+from jackdawsill.forwarding._finish import n_parts_needed, refuse, settle
+from jackdawsill.forwarding._model import ForwardRequest, ForwardRoute
+from jackdawsill.forwarding._policy import (
+    DEADLINE_MARGIN_S,
+    RETRY_UNKNOWN_S,
+    ForwardingPolicy,
+)
+from jackdawsill.forwarding._registry import ReplicaRegistry
+
+
+@handles(CallArrived, needs=CallTable)
+def on_call(state: HostState, event: CallArrived, now: float) -> list[Effect]:
+    """Route a call and send its first attempts."""
+    catalog = state.part(RouteCatalog)
+    req = event.req
+    if catalog.routes_ is None:
+        error = errors.NoRoutesYet(
+            "no configuration has been read yet",
+            retry_after_ms=int(1000 * RETRY_UNKNOWN_S),
+        )
+        return _refuse_unrouted(event, error, 0)
+    route = catalog.find(req)
+    if route is None:
+        error = errors.NoSuchRoute("no route matches the host name and path")
+        return _refuse_unrouted(event, error, catalog.version)
+    call = _new_call(state, event.call_id, req, route, now)
+    if state.part(CrashEvidence).is_condemned(call.fingerprint, now):
+        error = errors.Condemned("the request crashed the replicas that ran it")
+        return refuse(state, call, now, error)
+    refusal = _unservable(state, call, now)
+    if refusal is not None:
+        return refuse(state, call, now, refusal)
+    state.part(CallTable).calls_[call.call_id] = call
+    effects: list[Effect] = []
+    for part in call.parts:
+        effects += send_first(state, part, now)
+    ending = settle(state, call, now)
+    if ending:
+        return [*effects, *ending]
+    return [*effects, call_timer(call, now)]
+
+
+def _new_call(
+    state: HostState,
+    call_id: int,
+    req: ForwardRequest,
+    route: ForwardRoute,
+    now: float,
+) -> Call:
+    catalog = state.part(RouteCatalog)
+    limit_s = route.timeout_s
+    if req.deadline_s is not None:
+        limit_s = min(limit_s, req.deadline_s - DEADLINE_MARGIN_S)
+    network_s = state.part(ForwardingPolicy).caller_network_s
+    call = Call(
+        call_id,
+        req,
+        route,
+        catalog.version,
+        now,
+        now + limit_s,
+        now + max(0.0, route.objective_s - network_s),
+        f"call:{call_id}",
+        fingerprint(req),
+    )
+    services = route.shards or (catalog.next_service(route),)
+    call.parts = [Part(call, service) for service in services]
+    return call
+
+
+def _unservable(state: HostState, call: Call, now: float) -> JackdawsillError | None:
+    """Return the refusal of a call that cannot be served at present."""
+    if now >= call.deadline_at:
+        return errors.ExpiredUnsent("the deadline had passed on arrival")
+    registry = state.part(ReplicaRegistry)
+    n_known = sum(bool(registry.by_service_.get(p.service)) for p in call.parts)
+    if n_known >= n_parts_needed(call):
+        return None
+    return errors.NoReplica(
+        f"replicas are known for {n_known} of {len(call.parts)} services",
+        retry_after_ms=int(1000 * RETRY_UNKNOWN_S),
+    )
+
+
+def _refuse_unrouted(
+    event: CallArrived, error: JackdawsillError, version: int
+) -> list[Effect]:
+    fields = {
+        "request": event.req.request_id.decode("latin-1"),
+        "host_name": event.req.host.decode("latin-1"),
+        "target": event.req.target.decode("latin-1"),
+        "config": version,
+        "outcome": error.code_text,
+    }
+    return [
+        RefuseCall(event.call_id, error),
+        LogEvent(log_events.CALL_UNROUTED, fields),
+    ]
--- /dev/null
+++ b/jackdawsill/forwarding/_beliefs.py
@@ -0,0 +1,127 @@
+"""What the host believes of routes, replicas and the platform's store."""
+
+from jackdawsill.core import Effect, HostState, LogEvent, PauseDetected, Tick, handles
+from jackdawsill.forwarding import _log_events as log_events
+from jackdawsill.forwarding._catalog import RouteCatalog
+from jackdawsill.forwarding._effects import (
+    CheckStore,
+    DropIdleConnections,
+    DropReplica,
+)
+from jackdawsill.forwarding._events import (
+    PEER,
+    ReplicasChanged,
+    ReplicasListed,
+    RoutesRead,
+    StoreLost,
+    StoreRegained,
+)
+from jackdawsill.forwarding._registry import ReplicaRegistry
+
+
+@handles(RoutesRead, needs=RouteCatalog)
+def on_routes(state: HostState, event: RoutesRead, now: float) -> list[Effect]:
+    """Put a newer configuration in force."""
+    catalog = state.part(RouteCatalog)
+    before = catalog.version
+    if not catalog.accept(event.routes, now):
+        return []
+    fields = {
+        "version": catalog.version,
+        "before": before,
+        "n_routes": len(event.routes.routes),
+        "source": event.source,
+    }
+    return [LogEvent(log_events.ROUTES_ACCEPTED, fields)]
+
+
+@handles(ReplicasListed, needs=ReplicaRegistry)
+def on_listed(state: HostState, event: ReplicasListed, now: float) -> list[Effect]:
+    """Replace all replicas by a complete list."""
+    registry = state.part(ReplicaRegistry)
+    n_before = len(registry.replicas_)
+    dropped = registry.list_all(
+        event.entries, event.revision, now, is_relayed=event.source == PEER
+    )
+    fields = {
+        "revision": event.revision,
+        "n_before": n_before,
+        "n_now": len(registry.replicas_),
+        "dropped": dropped[:20],
+        "source": event.source,
+    }
+    return [LogEvent(log_events.REPLICAS_LISTED, fields), *_drop(dropped)]
+
+
+@handles(ReplicasChanged, needs=ReplicaRegistry)
+def on_changed(state: HostState, event: ReplicasChanged, now: float) -> list[Effect]:
+    """Apply changed entries of replicas."""
+    registry = state.part(ReplicaRegistry)
+    dropped = registry.change(event.written, event.removed, event.revision, now)
+    fields = {
+        "revision": event.revision,
+        "written": [_entry_text(entry) for entry in event.written[:20]],
+        "removed": list(event.removed[:20]),
+        "lapsed": [n for n in event.removed[:20] if n in registry.replicas_],
+        "n_now": len(registry.replicas_),
+        "source": event.source,
+    }
+    return [LogEvent(log_events.REPLICAS_CHANGED, fields), *_drop(dropped)]
+
+
+@handles(StoreLost, needs=ReplicaRegistry)
+def on_lost(state: HostState, event: StoreLost, now: float) -> list[Effect]:
+    """Go on with the last known routes and replicas."""
+    registry = state.part(ReplicaRegistry)
+    if registry.store_lost_at_ is not None:
+        return []
+    registry.on_store_lost(now)
+    fields = {
+        "detail": event.detail,
+        "config": state.part(RouteCatalog).version,
+        "revision": registry.revision_,
+        "age_s": round(now - registry.changed_at_, 1),
+    }
+    return [LogEvent(log_events.STORE_LOST, fields)]
+
+
+@handles(StoreRegained, needs=ReplicaRegistry)
+def on_regained(state: HostState, event: StoreRegained, now: float) -> list[Effect]:
+    """Take entries as current again."""
+    registry = state.part(ReplicaRegistry)
+    lost_at = registry.store_lost_at_
+    if lost_at is None:
+        return []
+    registry.on_store_regained(now)
+    fields = {"away_s": round(now - lost_at, 1), "revision": registry.revision_}
+    return [LogEvent(log_events.STORE_REGAINED, fields)]
+
+
+@handles(Tick, needs=ReplicaRegistry)
+def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
+    """Drop replicas whose entries expired and did not come back."""
+    gone = state.part(ReplicaRegistry).expire(now)
+    if not gone:
+        return []
+    fields = {"replicas": gone[:20], "n": len(gone)}
+    return [LogEvent(log_events.REPLICAS_EXPIRED, fields), *_drop(gone)]
+
+
+@handles(PauseDetected, needs=ReplicaRegistry)
+def on_pause(state: HostState, event: PauseDetected, now: float) -> list[Effect]:
+    """Trust no connection and no belief from before the pause."""
+    fields = {"gap_s": round(event.gap_s, 2)}
+    return [
+        LogEvent(log_events.PAUSE_NOTICED, fields),
+        DropIdleConnections(),
+        CheckStore(),
+    ]
+
+
+def _drop(names: list[str]) -> list[Effect]:
+    return [DropReplica(name) for name in names]
+
+
+def _entry_text(entry) -> str:
+    state = "draining" if entry.draining else "ready"
+    return f"{entry.name} {entry.service} {state}"
--- /dev/null
+++ b/jackdawsill/forwarding/_calls.py
@@ -0,0 +1,97 @@
+"""Calls in progress, their parts and the attempts of each part."""
+
+from dataclasses import dataclass, field
+
+from jackdawsill.forwarding._model import (
+    ForwardRequest,
+    ForwardRoute,
+    ReplicaAnswer,
+)
+from jackdawsill.forwarding._replica import LiveReplica
+from jackdawsill.forwarding._windows import LatencyWindow
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One send to one replica; times are on the clock of the reducer."""
+
+    attempt_id: int
+    part: "Part"
+    replica: LiveReplica
+    sent_at: float
+    usual_s: float
+    distance_s: float
+    is_hedge: bool
+
+
+@dataclass(slots=True)
+class Part:
+    """The share of a call that one service answers."""
+
+    call: "Call"
+    service: str
+    open: dict[int, Attempt] = field(default_factory=dict)
+    tried: set[str] = field(default_factory=set)
+    n_maybe_run: int = 0  # attempts that a replica ran or may have run
+    n_refused: int = 0
+    hedge_at: float | None = None
+    answer: ReplicaAnswer | None = None
+    failure: ReplicaAnswer | None = None  # a replica's own failure, if it sent one
+    failed: bool = False
+    outcome: str = ""
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the part waits for nothing."""
+        return self.answer is not None or self.failed
+
+
+@dataclass(slots=True)
+class Call:
+    """One caller's request in progress."""
+
+    call_id: int
+    req: ForwardRequest
+    route: ForwardRoute
+    version: int
+    arrived_at: float
+    deadline_at: float
+    answer_by: float  # time at which a sufficient answer earns the full credit
+    timer_id: str
+    fingerprint: int = 0
+    parts: list[Part] = field(default_factory=list)
+    n_hedges: int = 0
+    n_retries: int = 0
+    replied: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether any replica may have run a part of the call."""
+        return any(part.n_maybe_run for part in self.parts)
+
+    @property
+    def n_answered(self) -> int:
+        """Return the number of parts that were answered."""
+        return sum(part.answer is not None for part in self.parts)
+
+
+class CallTable:
+    """Own the calls and attempts in progress, and the usual time of each route."""
+
+    __slots__ = ("attempts_", "calls_", "usual_")
+
+    def __init__(self) -> None:
+        self.calls_: dict[int, Call] = {}
+        self.attempts_: dict[int, Attempt] = {}
+        # Route name -> times of attempts without the distance of the replica.
+        self.usual_: dict[str, LatencyWindow] = {}
+
+    def window(self, route: ForwardRoute) -> LatencyWindow:
+        """Return the recent times of a route's attempts."""
+        window = self.usual_.get(route.name)
+        if window is None:
+            window = self.usual_[route.name] = LatencyWindow()
+        return window
+
+    def __len__(self) -> int:
+        return len(self.calls_)
--- /dev/null
+++ b/jackdawsill/forwarding/_dispatch.py
@@ -0,0 +1,125 @@
+"""Sending of attempts: the first of each part, hedges and retries."""
+
+from jackdawsill.core import Count, Effect, HostState, SetTimer
+from jackdawsill.forwarding._budget import RetryBudget
+from jackdawsill.forwarding._calls import Attempt, Call, CallTable, Part
+from jackdawsill.forwarding._catalog import RouteCatalog
+from jackdawsill.forwarding._effects import SendAttempt
+from jackdawsill.forwarding._model import ForwardRoute
+from jackdawsill.forwarding._policy import (
+    HEDGE_DEFAULT_FRACTION,
+    HEDGE_MIN_S,
+    HEDGE_QUANTILE,
+    N_REFUSED_MAX,
+    USUAL_DEFAULT_FRACTION,
+)
+from jackdawsill.forwarding._registry import ReplicaRegistry
+
+
+def usual_s(state: HostState, route: ForwardRoute) -> float:
+    """Return the usual time of a route's attempts without the distance."""
+    default = USUAL_DEFAULT_FRACTION * route.objective_s
+    return state.part(CallTable).window(route).quantile(0.5, default)
+
+
+def hedge_delay_s(state: HostState, route: ForwardRoute) -> float:
+    """Return the time without the distance that few attempts take longer than."""
+    default = HEDGE_DEFAULT_FRACTION * route.objective_s
+    window = state.part(CallTable).window(route)
+    return max(HEDGE_MIN_S, window.quantile(HEDGE_QUANTILE, default))
+
+
+def send_first(state: HostState, part: Part, now: float) -> list[Effect]:
+    """Send the first attempt of a part, or mark it as failed."""
+    state.part(RetryBudget).on_request(part.service, now)
+    return _send(state, part, now, is_hedge=False)
+
+
+def may_send_more(part: Part) -> bool:
+    """Tell whether the route allows one more replica for the part."""
+    n_possible = part.n_maybe_run + len(part.open)
+    return (
+        n_possible < part.call.route.n_attempts_max and part.n_refused <= N_REFUSED_MAX
+    )
+
+
+def send_hedge(state: HostState, part: Part, now: float) -> list[Effect]:
+    """Send a second attempt for a part whose first one is slow."""
+    part.hedge_at = None
+    call = part.call
+    slow = next(iter(part.open.values()), None)
+    if slow is None or part.is_settled:
+        return []
+    elapsed_s = now - slow.sent_at - slow.distance_s
+    slow.replica.on_silence(elapsed_s / slow.usual_s, now)
+    if not call.route.idempotent or not may_send_more(part):
+        return []
+    if state.part(ReplicaRegistry).pick(
+        part.service, part.tried, slow.usual_s, now, state.rng
+    ) is None or not state.part(RetryBudget).try_spend(
+        part.service, now, is_hedge=True
+    ):
+        return [Count("forwarding_hedges_withheld")]
+    call.n_hedges += 1
+    return [Count("forwarding_hedges_sent"), *_send(state, part, now, is_hedge=True)]
+
+
+def send_retry(state: HostState, part: Part, now: float) -> list[Effect] | None:
+    """Send another attempt after a failed one; None if it is not allowed."""
+    call = part.call
+    if not may_send_more(part) or now >= call.deadline_at:
+        return None
+    replica = state.part(ReplicaRegistry).pick(
+        part.service, part.tried, usual_s(state, call.route), now, state.rng
+    )
+    if replica is None:
+        return None
+    if not state.part(RetryBudget).try_spend(part.service, now, is_hedge=False):
+        part.outcome = "retry budget spent"
+        return None
+    call.n_retries += 1
+    return [Count("forwarding_retries_sent"), *_send(state, part, now, is_hedge=False)]
+
+
+def call_timer(call: Call, now: float) -> SetTimer:
+    """Return the timer of the next time at which the call must be looked at."""
+    at_s = call.deadline_at
+    if now < call.answer_by < at_s:
+        at_s = call.answer_by
+    for part in call.parts:
+        if part.hedge_at is not None and part.hedge_at < at_s:
+            at_s = part.hedge_at
+    return SetTimer(call.timer_id, at_s)
+
+
+def _send(state: HostState, part: Part, now: float, *, is_hedge: bool) -> list[Effect]:
+    call = part.call
+    route = call.route
+    registry = state.part(ReplicaRegistry)
+    usual = usual_s(state, route)
+    replica = registry.pick(part.service, part.tried, usual, now, state.rng)
+    if replica is None:
+        part.failed = True
+        part.outcome = "no replica"
+        return []
+    entry = replica.entry
+    distance_s = registry.distance_s(entry.failure_domain)
+    attempt = Attempt(state.next_id(), part, replica, now, usual, distance_s, is_hedge)
+    part.open[attempt.attempt_id] = attempt
+    part.tried.add(entry.name)
+    replica.in_flight += 1
+    state.part(CallTable).attempts_[attempt.attempt_id] = attempt
+    if not is_hedge:
+        part.hedge_at = now + distance_s + hedge_delay_s(state, route)
+    return [
+        SendAttempt(
+            attempt.attempt_id,
+            call.req,
+            entry.name,
+            entry.incarnation,
+            entry.address,
+            call.deadline_at,
+            route.idempotent,
+            state.part(RouteCatalog).n_connections_max(part.service),
+        )
+    ]
--- /dev/null
+++ b/jackdawsill/forwarding/_effects.py
@@ -0,0 +1,76 @@
+"""Effects of forwarded calls."""
+
+from dataclasses import dataclass
+
+from jackdawsill.core import Effect
+from jackdawsill.exceptions import JackdawsillError
+from jackdawsill.forwarding._model import ForwardRequest, MergedAnswer, ReplicaAnswer
+
+
+@dataclass(slots=True, frozen=True)
+class SendAttempt(Effect):
+    """Send a call to a replica; `deadline_at` is on the clock of the reducer."""
+
+    attempt_id: int
+    req: ForwardRequest
+    replica: str
+    incarnation: str
+    address: str
+    deadline_at: float
+    idempotent: bool
+    n_connections_max: int
+
+
+@dataclass(slots=True, frozen=True)
+class AbortAttempt(Effect):
+    """Close the connection of an attempt, so that the replica stops its work."""
+
+    attempt_id: int
+
+
+@dataclass(slots=True, frozen=True)
+class PassAnswer(Effect):
+    """Send a replica's answer unchanged to the caller."""
+
+    call_id: int
+    answer: ReplicaAnswer
+
+
+@dataclass(slots=True, frozen=True)
+class SendMerged(Effect):
+    """Send the merged answer of a fan-out to the caller."""
+
+    call_id: int
+    answer: MergedAnswer
+
+
+@dataclass(slots=True, frozen=True)
+class RefuseCall(Effect):
+    """Send a typed refusal to the caller."""
+
+    call_id: int
+    error: JackdawsillError
+
+
+@dataclass(slots=True, frozen=True)
+class DropReplica(Effect):
+    """Close the idle connections to a replica that is gone or not trusted."""
+
+    replica: str
+
+
+@dataclass(slots=True, frozen=True)
+class DropIdleConnections(Effect):
+    """Close all idle connections to replicas; they may be dead without a sign."""
+
+
+@dataclass(slots=True, frozen=True)
+class CheckStore(Effect):
+    """Read the store again at once instead of waiting for its next change."""
+
+
+@dataclass(slots=True, frozen=True)
+class CloseCallers(Effect):
+    """End each caller's connection after its reply, and idle ones if `idle_now`."""
+
+    idle_now: bool
--- /dev/null
+++ b/jackdawsill/forwarding/_errors.py
@@ -0,0 +1,43 @@
+"""Refusals of forwarded calls; a raised outcome may be corrected per refusal."""
+
+from jackdawsill.exceptions import JackdawsillError, Outcome, register_error
+
+
+@register_error(2501, status=503)
+class NoRoutesYet(JackdawsillError):
+    """The host has not read a configuration yet."""
+
+
+@register_error(2502, status=404)
+class NoSuchRoute(JackdawsillError):
+    """No route of the configuration in force matches the host name and path."""
+
+
+@register_error(2503, status=503)
+class NoReplica(JackdawsillError):
+    """No replica could take the call; it was not run."""
+
+
+@register_error(2504, status=502, outcome=Outcome.OUTCOME_UNKNOWN)
+class AttemptsFailed(JackdawsillError):
+    """Replicas that may have run the call gave no usable answer."""
+
+
+@register_error(2505, status=504, outcome=Outcome.OUTCOME_UNKNOWN)
+class DeadlinePassed(JackdawsillError):
+    """The deadline passed while replicas may have been running the call."""
+
+
+@register_error(2506, status=503)
+class ExpiredUnsent(JackdawsillError):
+    """The deadline passed before the call was sent to any replica."""
+
+
+@register_error(2507, status=502, outcome=Outcome.PARTLY_RUN)
+class CoverageTooLow(JackdawsillError):
+    """Too few shards answered for the coverage that the route requires."""
+
+
+@register_error(2508, status=403)
+class Condemned(JackdawsillError):
+    """The request crashed several replicas and is not sent to any other."""
--- /dev/null
+++ b/jackdawsill/forwarding/_finish.py
@@ -0,0 +1,208 @@
+"""Replies to callers: when a call is answered, with what, and what stays open."""
+
+import heapq
+
+from jackdawsill.core import (
+    ClearTimer,
+    Count,
+    Effect,
+    HostState,
+    LogEvent,
+    Observe,
+    SetTimer,
+)
+from jackdawsill.exceptions import JackdawsillError, Outcome
+from jackdawsill.forwarding import _errors as errors
+from jackdawsill.forwarding import _log_events as log_events
+from jackdawsill.forwarding._calls import Call, CallTable, Part
+from jackdawsill.forwarding._effects import (
+    AbortAttempt,
+    PassAnswer,
+    RefuseCall,
+    SendMerged,
+)
+from jackdawsill.forwarding._model import MergedAnswer
+from jackdawsill.forwarding._policy import LINGER_S, RETRY_FULL_S
+
+RECORD_BYTES = 16
+CALL_SECONDS = "forwarding_call_seconds"
+
+
+def greatest_records(bodies: list[bytes], top_k: int) -> bytes:
+    """Return the `top_k` greatest records of all bodies, greatest first.
+
+    A remainder shorter than a record is no record.
+    """
+    records = [
+        body[start : start + RECORD_BYTES]
+        for body in bodies
+        for start in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES)
+    ]
+    return b"".join(heapq.nlargest(top_k, records))
+
+
+def n_parts_needed(call: Call) -> int:
+    """Return the least number of parts that make a sufficient answer."""
+    n_parts = len(call.parts)
+    n_needed = 1
+    while n_needed < n_parts and n_needed / n_parts < call.route.min_coverage:
+        n_needed += 1
+    return n_needed
+
+
+def settle(state: HostState, call: Call, now: float) -> list[Effect]:
+    """Reply to a call if it is time to; return no effect if it goes on."""
+    if call.replied:
+        return []
+    if call.route.is_fanout:
+        return _settle_fanout(state, call, now)
+    return _settle_single(state, call, now)
+
+
+def _settle_single(state: HostState, call: Call, now: float) -> list[Effect]:
+    part = call.parts[0]
+    if part.answer is not None:
+        reply = PassAnswer(call.call_id, part.answer)
+        return _finish(state, call, now, reply, str(part.answer.status))
+    if part.failed:
+        if part.failure is not None:
+            reply = PassAnswer(call.call_id, part.failure)
+            return _finish(state, call, now, reply, str(part.failure.status))
+        return refuse(state, call, now, _failure(call, part.outcome))
+    if now >= call.deadline_at:
+        return refuse(state, call, now, _expiry(call))
+    return []
+
+
+def _settle_fanout(state: HostState, call: Call, now: float) -> list[Effect]:
+    n_answered = call.n_answered
+    n_needed = n_parts_needed(call)
+    n_failed = sum(part.failed for part in call.parts)
+    is_whole = n_answered + n_failed == len(call.parts)
+    if n_answered >= n_needed and (is_whole or now >= call.answer_by):
+        return _deliver_merged(state, call, now)
+    if len(call.parts) - n_failed < n_needed:
+        reasons = sorted({part.outcome for part in call.parts if part.failed})
+        return refuse(state, call, now, _failure(call, ", ".join(reasons)))
+    if now >= call.deadline_at:
+        return refuse(state, call, now, _expiry(call))
+    return []
+
+
+def _deliver_merged(state: HostState, call: Call, now: float) -> list[Effect]:
+    """Merge the parts; a part whose signature repeats another is left out."""
+    signatures: dict[bytes, bytes] = {}
+    for part in call.parts:
+        if part.answer is not None and part.answer.signature is not None:
+            signatures.setdefault(part.answer.signature, part.answer.body)
+    n_missing = len(call.parts) - len(signatures)
+    body = greatest_records(list(signatures.values()), call.route.top_k)
+    reply = SendMerged(call.call_id, MergedAnswer(tuple(signatures), n_missing, body))
+    effects = _finish(state, call, now, reply, "200")
+    if n_missing:
+        effects.append(Count("forwarding_answers_partial"))
+    return effects
+
+
+def _failure(call: Call, reason: str) -> JackdawsillError:
+    """Return the refusal of a call whose attempts have all failed."""
+    if not call.may_have_run:
+        message = f"no replica took the call: {reason}"
+        retry_ms = int(1000 * RETRY_FULL_S)
+        return errors.NoReplica(message, retry_after_ms=retry_ms)
+    if call.route.is_fanout:
+        n_parts = len(call.parts)
+        return errors.CoverageTooLow(
+            f"{call.n_answered} of {n_parts} parts, {n_parts_needed(call)} needed: "
+            f"{reason}"
+        )
+    return errors.AttemptsFailed(f"all attempts failed: {reason}")
+
+
+def _expiry(call: Call) -> JackdawsillError:
+    """Return the refusal of a call whose deadline passed."""
+    open_or_run = call.may_have_run or any(part.open for part in call.parts)
+    if open_or_run:
+        return errors.DeadlinePassed("no answer before the deadline")
+    return errors.ExpiredUnsent("the deadline passed before the call was sent")
+
+
+def refuse(
+    state: HostState, call: Call, now: float, error: JackdawsillError
+) -> list[Effect]:
+    """Refuse a call; a claim that nothing ran withstands open attempts only."""
+    has_open = any(part.open for part in call.parts)
+    if error.outcome is Outcome.NOT_RUN and (call.may_have_run or has_open):
+        error = errors.AttemptsFailed(error.message)
+    reply = RefuseCall(call.call_id, error)
+    effects = _finish(state, call, now, reply, error.code_text)
+    labels = (("error", type(error).__name__),)
+    return [*effects, Count("forwarding_calls_refused", labels=labels)]
+
+
+def abandon(state: HostState, call: Call, now: float) -> list[Effect]:
+    """End a call whose caller has left; nothing more is sent for it."""
+    return _finish(state, call, now, None, "caller left")
+
+
+def _finish(
+    state: HostState, call: Call, now: float, reply: Effect | None, outcome: str
+) -> list[Effect]:
+    """Reply, and let open attempts end by themselves for a moment."""
+    call.replied = True
+    for part in call.parts:
+        part.hedge_at = None
+    elapsed_s = now - call.arrived_at
+    effects: list[Effect] = [] if reply is None else [reply]
+    labels = (("route", call.route.name),)
+    effects.append(Observe(CALL_SECONDS, elapsed_s, labels))
+    effects.append(_call_line(call, outcome, elapsed_s))
+    if any(part.open for part in call.parts):
+        # A caller that sends a request that may not run twice is told the truth
+        # with this reply, so its attempt is not stopped half way.
+        effects.append(SetTimer(call.timer_id, now + LINGER_S))
+    else:
+        state.part(CallTable).calls_.pop(call.call_id, None)
+        effects.append(ClearTimer(call.timer_id))
+    return effects
+
+
+def close_lingering(state: HostState, call: Call, now: float) -> list[Effect]:
+    """Stop the attempts that outlived their call."""
+    table = state.part(CallTable)
+    effects: list[Effect] = []
+    for part in call.parts:
+        for attempt_id, attempt in list(part.open.items()):
+            attempt.replica.in_flight -= 1
+            elapsed_s = now - attempt.sent_at - attempt.distance_s
+            attempt.replica.on_silence(elapsed_s / attempt.usual_s, now)
+            table.attempts_.pop(attempt_id, None)
+            effects.append(AbortAttempt(attempt_id))
+        part.open.clear()
+    table.calls_.pop(call.call_id, None)
+    return effects
+
+
+def _call_line(call: Call, outcome: str, elapsed_s: float) -> LogEvent:
+    fields = {
+        "request": call.req.request_id.decode("latin-1"),
+        "route": call.route.name,
+        "config": call.version,
+        "outcome": outcome,
+        "elapsed_ms": round(elapsed_s * 1000, 1),
+        "left_ms": round((call.deadline_at - call.arrived_at - elapsed_s) * 1000),
+        "parts": len(call.parts),
+        "answered": call.n_answered,
+        "hedges": call.n_hedges,
+        "retries": call.n_retries,
+    }
+    missing = [_part_text(part) for part in call.parts if part.answer is None]
+    if missing:
+        fields["missing"] = missing[:20]
+    return LogEvent(log_events.CALL_ENDED, fields)
+
+
+def _part_text(part: Part) -> str:
+    """Return service, state and replicas of a part for the log."""
+    state = part.outcome or ("open" if part.open else "unsent")
+    return f"{part.service} {state} {'/'.join(sorted(part.tried))}"
--- /dev/null
+++ b/jackdawsill/forwarding/_life.py
@@ -0,0 +1,94 @@
+"""Phases of a gateway: waiting for its first beliefs, serving, and stopping."""
+
+from enum import StrEnum
+
+from jackdawsill.core import (
+    Effect,
+    Exit,
+    HostState,
+    LogEvent,
+    SetReadiness,
+    StopRequested,
+    Tick,
+    handles,
+)
+from jackdawsill.forwarding import _log_events as log_events
+from jackdawsill.forwarding._calls import CallTable
+from jackdawsill.forwarding._catalog import RouteCatalog
+from jackdawsill.forwarding._effects import CloseCallers
+from jackdawsill.forwarding._policy import ForwardingPolicy
+from jackdawsill.forwarding._registry import ReplicaRegistry
+
+# Part of the grace period during which new connections may still arrive: the
+# balancer asks each second and needs two refusals.
+LAMEDUCK_FRACTION = 0.42
+# Part of the grace period after which the process ends whatever is in hand.
+EXIT_FRACTION = 0.9
+
+
+class GatewayPhase(StrEnum):
+    """Name the phases of a gateway in their order."""
+
+    WAITING = "waiting"
+    SERVING = "serving"
+    LAMEDUCK = "lameduck"
+    DRAINING = "draining"
+    ENDED = "ended"
+
+
+class GatewayLife:
+    """Own the phase of the gateway."""
+
+    __slots__ = ("phase_", "stop_at_")
+
+    def __init__(self) -> None:
+        self.phase_ = GatewayPhase.WAITING
+        self.stop_at_ = 0.0
+
+    def enter(self, phase: GatewayPhase) -> LogEvent:
+        """Change the phase and return its log line."""
+        fields = {"before": str(self.phase_), "after": str(phase)}
+        self.phase_ = phase
+        return LogEvent(log_events.PHASE_CHANGED, fields)
+
+
+@handles(StopRequested, needs=GatewayLife)
+def on_stop(state: HostState, event: StopRequested, now: float) -> list[Effect]:
+    """Fail the health check; go on serving until the balancer has noticed."""
+    life = state.part(GatewayLife)
+    if life.phase_ not in (GatewayPhase.WAITING, GatewayPhase.SERVING):
+        return []
+    state.ready_ = False
+    life.stop_at_ = now
+    return [
+        life.enter(GatewayPhase.LAMEDUCK),
+        SetReadiness(False, "stopping"),
+        CloseCallers(idle_now=False),
+    ]
+
+
+@handles(Tick, needs=GatewayLife)
+def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
+    """Move on when the phase has reached its aim."""
+    life = state.part(GatewayLife)
+    if life.phase_ is GatewayPhase.WAITING:
+        is_informed = (
+            state.part(RouteCatalog).routes_ is not None
+            and state.part(ReplicaRegistry).revision_ is not None
+        )
+        if not is_informed:
+            return []
+        state.ready_ = True
+        return [life.enter(GatewayPhase.SERVING), SetReadiness(True)]
+    grace_s = state.part(ForwardingPolicy).grace_s
+    stopping_s = now - life.stop_at_
+    if life.phase_ is GatewayPhase.LAMEDUCK:
+        if stopping_s < LAMEDUCK_FRACTION * grace_s:
+            return []
+        return [life.enter(GatewayPhase.DRAINING), CloseCallers(idle_now=True)]
+    if life.phase_ is GatewayPhase.DRAINING:
+        has_calls = any(not c.replied for c in state.part(CallTable).calls_.values())
+        if has_calls and stopping_s < EXIT_FRACTION * grace_s:
+            return [CloseCallers(idle_now=True)]
+        return [life.enter(GatewayPhase.ENDED), Exit()]
+    return []
--- /dev/null
+++ b/jackdawsill/forwarding/_model.py
@@ -0,0 +1,117 @@
+"""Routes, replicas, requests and answers of forwarded calls."""
+
+from dataclasses import dataclass, field
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(slots=True, frozen=True)
+class WeightedService:
+    """A service that takes a share of a route's calls."""
+
+    service: str
+    weight: float
+
+
+@dataclass(slots=True, frozen=True)
+class ForwardRoute:
+    """Where the calls of a host name and path prefix go; times are in seconds.
+
+    A fan-out route names its `shards`, one service each; any other route names the
+    services that share its calls in `services`.
+    """
+
+    name: str
+    host: bytes
+    prefix: bytes
+    idempotent: bool
+    timeout_s: float
+    objective_s: float
+    rank: int  # 0 is the most urgent
+    n_attempts_max: int  # replicas that one call may run on, for each shard
+    services: tuple[WeightedService, ...] = ()
+    shards: tuple[str, ...] = ()
+    top_k: int = 0
+    min_coverage: float = 0.0
+
+    @property
+    def is_fanout(self) -> bool:
+        """Tell whether a call goes to one replica of each shard."""
+        return bool(self.shards)
+
+
+@dataclass(slots=True, frozen=True)
+class CallerLimits:
+    """Bounds on what callers may send, and on how long they may take."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 256 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(slots=True, frozen=True)
+class RouteSet:
+    """All routes of one version of the configuration."""
+
+    version: int
+    routes: tuple[ForwardRoute, ...]
+    n_connections_max: dict[str, int]  # service -> connections a replica accepts
+    limits: CallerLimits = CallerLimits()
+
+
+@dataclass(slots=True, frozen=True)
+class ReplicaEntry:
+    """A replica as the platform's service discovery publishes it."""
+
+    name: str
+    service: str
+    address: str  # host:port
+    failure_domain: str
+    n_slots: int
+    draining: bool = False
+    cold_s: float = 0.0  # time that it stays slow after its start
+    incarnation: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class ForwardRequest:
+    """A caller's request, read whole; `headers` concern the request alone."""
+
+    request_id: bytes
+    method: bytes
+    target: bytes
+    host: bytes
+    headers: Headers = ()
+    body: bytes = b""
+    deadline_s: float | None = None  # time the caller still waits, None if unsaid
+
+    @property
+    def path(self) -> bytes:
+        """Return the target without its query."""
+        return self.target.partition(b"?")[0]
+
+
+@dataclass(slots=True, frozen=True)
+class ReplicaAnswer:
+    """A replica's complete answer, which ran the request."""
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b""
+    signature: bytes | None = None  # proof of the replica that it made the answer
+
+    @property
+    def succeeded(self) -> bool:
+        """Tell whether the answer is a signed success."""
+        return 200 <= self.status < 300 and self.signature is not None
+
+
+@dataclass(slots=True, frozen=True)
+class MergedAnswer:
+    """The merged answer of a fan-out; `signatures` name the parts it includes."""
+
+    signatures: tuple[bytes, ...]
+    n_missing: int
+    body: bytes
+    headers: Headers = field(default_factory=tuple)
--- /dev/null
+++ b/jackdawsill/forwarding/_outcomes.py
@@ -0,0 +1,195 @@
+"""Ends of attempts, timers of calls, and callers that leave."""
+
+from jackdawsill.core import (
+    NOT_RUN_KINDS,
+    Count,
+    Effect,
+    FailureKind,
+    HostState,
+    LogEvent,
+    TimerFired,
+    handles,
+)
+from jackdawsill.forwarding import _log_events as log_events
+from jackdawsill.forwarding._calls import Attempt, CallTable, Part
+from jackdawsill.forwarding._crashes import CrashEvidence
+from jackdawsill.forwarding._dispatch import (
+    call_timer,
+    send_hedge,
+    send_retry,
+)
+from jackdawsill.forwarding._effects import DropReplica
+from jackdawsill.forwarding._events import (
+    AttemptAnswered,
+    AttemptFailed,
+    CallAbandoned,
+)
+from jackdawsill.forwarding._finish import abandon, close_lingering, settle
+from jackdawsill.forwarding._registry import ReplicaRegistry
+
+# Failures that say nothing against the replica.
+_HARMLESS_KINDS = frozenset({FailureKind.CANCELLED})
+# Refusals without a run: the replica is full, or about to leave.
+_REFUSAL_KINDS = frozenset(
+    {FailureKind.SHED, FailureKind.CAP, FailureKind.DRAINING, FailureKind.STARTING}
+)
+
+
+def _end_attempt(state: HostState, attempt_id: int) -> Attempt | None:
+    """Take an attempt out of all tables."""
+    table = state.part(CallTable)
+    attempt = table.attempts_.pop(attempt_id, None)
+    if attempt is None:
+        return None
+    part = attempt.part
+    part.open.pop(attempt_id, None)
+    attempt.replica.in_flight -= 1
+    call = part.call
+    if call.replied and not any(p.open for p in call.parts):
+        table.calls_.pop(call.call_id, None)
+    return attempt
+
+
+@handles(AttemptAnswered, needs=CallTable)
+def on_answer(state: HostState, event: AttemptAnswered, now: float) -> list[Effect]:
+    """Use an answer, or send the part to another replica."""
+    attempt = _end_attempt(state, event.attempt_id)
+    if attempt is None:
+        return []
+    part, call, answer = attempt.part, attempt.part.call, event.answer
+    part.n_maybe_run += 1
+    took_s = max(0.0, now - attempt.sent_at - attempt.distance_s)
+    if answer.succeeded or answer.status < 500:
+        attempt.replica.on_answer(took_s / attempt.usual_s, now)
+        state.part(CallTable).window(call.route).add(took_s)
+        state.part(CrashEvidence).on_success(call.fingerprint)
+    else:
+        attempt.replica.on_failure(now)
+    if call.replied or part.is_settled:
+        return []
+    if answer.succeeded or (not call.route.is_fanout and answer.status < 500):
+        part.answer = answer
+        part.hedge_at = None
+        return _go_on(state, part, now)
+    effects = [_attempt_line(attempt, f"status {answer.status}", now)]
+    part.failure = answer
+    part.outcome = f"status {answer.status}"
+    return [*effects, *_after_failure(state, part, now, may_repeat=True)]
+
+
+@handles(AttemptFailed, needs=CallTable)
+def on_failure(state: HostState, event: AttemptFailed, now: float) -> list[Effect]:
+    """Learn from a failed attempt, and send the part to another replica."""
+    attempt = _end_attempt(state, event.attempt_id)
+    if attempt is None:
+        return []
+    part, call, kind = attempt.part, attempt.part.call, event.kind
+    effects = _learn(state, attempt, kind, now)
+    not_run = kind in NOT_RUN_KINDS
+    if not_run:
+        part.n_refused += 1
+    else:
+        part.n_maybe_run += 1
+    labels = (("kind", str(kind)),)
+    effects.append(Count("forwarding_attempts_failed", labels=labels))
+    effects.append(_attempt_line(attempt, f"{kind} {event.detail}".strip(), now))
+    if call.replied or part.is_settled:
+        return effects
+    part.outcome = str(kind)
+    return [*effects, *_after_failure(state, part, now, may_repeat=not_run)]
+
+
+def _learn(
+    state: HostState, attempt: Attempt, kind: FailureKind, now: float
+) -> list[Effect]:
+    """Change what is believed of the replica of a failed attempt."""
+    replica = attempt.replica
+    if kind in _HARMLESS_KINDS:
+        return []
+    if kind in _REFUSAL_KINDS:
+        replica.on_refusal(now)
+        return []
+    if kind is FailureKind.MISDIRECTED:
+        # The address belongs to another process: this replica has ended.
+        state.part(ReplicaRegistry).forget(replica.entry.name)
+        return [DropReplica(replica.entry.name)]
+    if kind is FailureKind.CRASH:
+        replica.crashed_at = now
+    elif kind is FailureKind.CONNECT and replica.crashed_at is not None:
+        # Refusing connections after a lost one: the process has ended.
+        replica.crashed_at = None
+    backoff_s = replica.on_failure(now, at_once=kind is FailureKind.CONNECT)
+    if not backoff_s:
+        return []
+    fields = {
+        "replica": replica.entry.name,
+        "service": replica.entry.service,
+        "kind": str(kind),
+        "backoff_s": backoff_s,
+        "n_failures": replica.n_failures,
+    }
+    return [LogEvent(log_events.REPLICA_EJECTED, fields)]
+
+
+def _after_failure(
+    state: HostState, part: Part, now: float, *, may_repeat: bool
+) -> list[Effect]:
+    """Retry the part, wait for its other attempt, or give it up."""
+    effects: list[Effect] = []
+    if may_repeat or part.call.route.idempotent:
+        sent = send_retry(state, part, now)
+        if sent is not None:
+            effects = sent
+    if not part.open:
+        part.failed = True
+        part.hedge_at = None
+    return [*effects, *_go_on(state, part, now)]
+
+
+def _go_on(state: HostState, part: Part, now: float) -> list[Effect]:
+    """Reply if it is time to, else wait for the next event or time."""
+    call = part.call
+    effects = settle(state, call, now)
+    return effects or [call_timer(call, now)]
+
+
+@handles(TimerFired, needs=CallTable)
+def on_timer(state: HostState, event: TimerFired, now: float) -> list[Effect]:
+    """Hedge slow parts, answer at the objective, or give up at the deadline."""
+    prefix, _, number = event.timer_id.partition(":")
+    if prefix != "call":
+        return []
+    call = state.part(CallTable).calls_.get(int(number))
+    if call is None:
+        return []
+    if call.replied:
+        return close_lingering(state, call, now)
+    effects = settle(state, call, now)
+    if effects:
+        return effects
+    for part in call.parts:
+        if part.hedge_at is not None and now >= part.hedge_at:
+            effects += send_hedge(state, part, now)
+    return [*effects, call_timer(call, now)]
+
+
+@handles(CallAbandoned, needs=CallTable)
+def on_abandoned(state: HostState, event: CallAbandoned, now: float) -> list[Effect]:
+    """Send nothing more for a caller that has left."""
+    call = state.part(CallTable).calls_.get(event.call_id)
+    if call is None or call.replied:
+        return []
+    return [Count("forwarding_calls_abandoned"), *abandon(state, call, now)]
+
+
+def _attempt_line(attempt: Attempt, outcome: str, now: float) -> LogEvent:
+    entry = attempt.replica.entry
+    fields = {
+        "request": attempt.part.call.req.request_id.decode("latin-1"),
+        "service": entry.service,
+        "replica": entry.name,
+        "entry_age_s": round(now - attempt.replica.seen_at, 1),
+        "elapsed_ms": round((now - attempt.sent_at) * 1000, 1),
+        "outcome": outcome,
+    }
+    return LogEvent(log_events.ATTEMPT_FAILED, fields)
--- /dev/null
+++ b/jackdawsill/forwarding/_policy.py
@@ -0,0 +1,38 @@
+"""Settings of the decisions about forwarded calls."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class ForwardingPolicy:
+    """Bounds that the deployment states; times are in seconds."""
+
+    # Time that a request and its answer spend between caller and host, with the
+    # opening of the connection: the part of the objective that no host can use.
+    caller_network_s: float
+    # A replica that crashed is given this time before its requests count as harmful.
+    settle_s: float
+    grace_s: float  # from the request to stop until the process is killed
+
+
+# Part of a route's usual times after which an attempt is hedged.
+HEDGE_QUANTILE = 0.95
+# A hedge sooner than this would mostly answer timer noise.
+HEDGE_MIN_S = 0.008
+# Delay of hedges until a route's usual time is known, as a part of its objective.
+HEDGE_DEFAULT_FRACTION = 0.3
+# Usual time of an attempt until it is known, as a part of the route's objective.
+USUAL_DEFAULT_FRACTION = 0.15
+# Attempts of a finished call may end by themselves for this time, which keeps their
+# connections open; it is well below the time after which a replica that works for a
+# caller that has left counts as waste.
+LINGER_S = 0.25
+# Time before the caller's own deadline at which the host gives up, so that its
+# answer arrives in time.
+DEADLINE_MARGIN_S = 0.01
+# Sends of one part that replicas refused without running it.
+N_REFUSED_MAX = 2
+# When a caller whose request was not run is told to come back: after a replica that
+# was full has worked off its queue, and after routes or replicas are likely known.
+RETRY_FULL_S = 0.1
+RETRY_UNKNOWN_S = 0.4
--- /dev/null
+++ b/jackdawsill/forwarding/_registry.py
@@ -0,0 +1,204 @@
+"""Replicas that are known to this host, and the choice of one for an attempt."""
+
+import random
+from collections.abc import Collection, Iterable
+
+from jackdawsill.forwarding._model import ReplicaEntry
+from jackdawsill.forwarding._replica import LiveReplica
+
+# Entries that expire while the store is away are kept for this time after its return,
+# since a live replica has registered again by then (2 s, from the platform's contract).
+LAPSE_KEPT_S = 2.0
+# One-way delays until connections have shown better figures.
+SAME_REGION_S = 0.001
+OTHER_REGION_S = 0.01
+
+
+class ReplicaRegistry:
+    """Hold the replicas by service, and choose the one expected to answer first."""
+
+    __slots__ = (
+        "by_service_",
+        "changed_at_",
+        "distances_",
+        "failure_domain",
+        "regions",
+        "replicas_",
+        "revision_",
+        "store_lost_at_",
+        "store_regained_at_",
+    )
+
+    def __init__(self, failure_domain: str, regions: dict[str, str]) -> None:
+        self.failure_domain = failure_domain
+        self.regions = regions
+        self.replicas_: dict[str, LiveReplica] = {}
+        self.by_service_: dict[str, list[LiveReplica]] = {}
+        # Failure domain -> shortest time seen for opening a connection.
+        self.distances_: dict[str, float] = {}
+        self.revision_: int | None = None
+        self.changed_at_ = 0.0
+        self.store_lost_at_: float | None = None
+        self.store_regained_at_: float | None = None
+
+    def list_all(
+        self,
+        entries: Iterable[ReplicaEntry],
+        revision: int,
+        now: float,
+        *,
+        is_relayed: bool = False,
+    ) -> list[str]:
+        """Replace all entries; return the names of replicas that are gone.
+
+        A list relayed by a peer comes from a store that answers the peer, so nothing
+        has expired for want of the store.
+        """
+        entries = tuple(entries)
+        names = {entry.name for entry in entries}
+        gone = [name for name in self.replicas_ if name not in names]
+        return self.change(entries, gone, revision, now, may_lapse=not is_relayed)
+
+    def change(
+        self,
+        written: Iterable[ReplicaEntry],
+        removed: Iterable[str],
+        revision: int,
+        now: float,
+        *,
+        may_lapse: bool = True,
+    ) -> list[str]:
+        """Apply changed entries; return the names of replicas that are gone."""
+        may_lapse = may_lapse and self._may_have_lapsed(now)
+        dropped = []
+        for entry in written:
+            known = self.replicas_.get(entry.name)
+            if known is not None and _is_same_process(known.entry, entry):
+                if entry.draining and not known.entry.draining:
+                    dropped.append(entry.name)
+                known.entry = entry
+                known.lapsed_at = None
+                continue
+            if known is not None:
+                dropped.append(entry.name)
+            self.replicas_[entry.name] = LiveReplica(entry, now)
+        for name in removed:
+            known = self.replicas_.get(name)
+            if known is None:
+                continue
+            if may_lapse and not known.entry.draining:
+                known.lapsed_at = now if known.lapsed_at is None else known.lapsed_at
+                continue
+            del self.replicas_[name]
+            dropped.append(name)
+        self.revision_ = revision
+        self.changed_at_ = now
+        self._index()
+        return dropped
+
+    def expire(self, now: float) -> list[str]:
+        """Drop lapsed replicas that did not register again; return their names."""
+        if self.store_lost_at_ is not None:
+            return []
+        gone = [
+            name
+            for name, replica in self.replicas_.items()
+            if replica.lapsed_at is not None and now >= replica.lapsed_at + LAPSE_KEPT_S
+        ]
+        for name in gone:
+            del self.replicas_[name]
+        if gone:
+            self._index()
+        return gone
+
+    def forget(self, name: str) -> None:
+        """Drop a replica that is known to be gone before its entry says so."""
+        if self.replicas_.pop(name, None) is not None:
+            self._index()
+
+    def on_store_lost(self, now: float) -> None:
+        """Remember that entries are not current from now on."""
+        if self.store_lost_at_ is None:
+            self.store_lost_at_ = now
+
+    def on_store_regained(self, now: float) -> None:
+        """Remember that entries are current again."""
+        self.store_lost_at_ = None
+        self.store_regained_at_ = now
+
+    def on_connected(self, replica: str, elapsed_s: float) -> None:
+        """Learn the distance of a failure domain from an opened connection."""
+        known = self.replicas_.get(replica)
+        if known is None:
+            return
+        domain = known.entry.failure_domain
+        shortest = self.distances_.get(domain)
+        if shortest is None or elapsed_s < shortest:
+            self.distances_[domain] = elapsed_s
+
+    def distance_s(self, domain: str) -> float:
+        """Return the expected round-trip time to a failure domain."""
+        learned = self.distances_.get(domain)
+        if learned is not None:
+            return learned
+        if domain == self.failure_domain:
+            return 0.0
+        region = self.regions.get(domain, domain)
+        own = self.regions.get(self.failure_domain, self.failure_domain)
+        return 2 * (SAME_REGION_S if region == own else OTHER_REGION_S)
+
+    def n_usable(self, service: str, now: float) -> int:
+        """Return how many replicas of a service may be sent new work now."""
+        replicas = self.by_service_.get(service, ())
+        return sum(not replica.is_ejected(now) for replica in replicas)
+
+    def pick(
+        self,
+        service: str,
+        exclude: Collection[str],
+        usual_s: float,
+        now: float,
+        rng: random.Random,
+    ) -> LiveReplica | None:
+        """Return the replica expected to answer first, or None if there is none.
+
+        Ejected replicas are the last resort: an attempt that may fail is better than
+        a part that is missing for certain.
+        """
+        best = None
+        best_cost = (True, 0.0)
+        for replica in self.by_service_.get(service, ()):
+            entry = replica.entry
+            if entry.name in exclude:
+                continue
+            distance_s = self.distance_s(entry.failure_domain)
+            # The small random part spreads equal replicas over the hosts.
+            expected_s = replica.expected_s(usual_s, distance_s, now)
+            expected_s *= 1.0 + 0.05 * rng.random()
+            cost = (replica.is_ejected(now), expected_s)
+            if best is None or cost < best_cost:
+                best, best_cost = replica, cost
+        return best
+
+    def _may_have_lapsed(self, now: float) -> bool:
+        """Tell whether a removal may come from the store's absence alone."""
+        if self.store_lost_at_ is not None:
+            return True
+        regained = self.store_regained_at_
+        return regained is not None and now < regained + LAPSE_KEPT_S
+
+    def _index(self) -> None:
+        by_service: dict[str, list[LiveReplica]] = {}
+        for replica in self.replicas_.values():
+            if not replica.entry.draining:
+                by_service.setdefault(replica.entry.service, []).append(replica)
+        self.by_service_ = by_service
+
+
+def _is_same_process(known: ReplicaEntry, entry: ReplicaEntry) -> bool:
+    """Tell whether two entries of one name describe one run of a process."""
+    return (known.incarnation, known.address, known.service) == (
+        entry.incarnation,
+        entry.address,
+        entry.service,
+    )
--- /dev/null
+++ b/jackdawsill/forwarding/_replica.py
@@ -0,0 +1,114 @@
+"""A live replica as this host observes it."""
+
+import math
+from dataclasses import dataclass, field
+
+from jackdawsill.forwarding._model import ReplicaEntry
+
+# An observation loses its weight with this time constant, so that a replica that was
+# slow is tried again after some seconds.
+MEMORY_S = 2.0
+SAMPLE_WEIGHT = 0.3
+# Bounds of one observation of slowness, as a multiple of the usual time.
+SLOWNESS_MIN, SLOWNESS_MAX = 0.3, 30.0
+# A replica that has just started works slower than its peers.
+COLD_SLOWNESS = 2.0
+# A replica that did not answer for longer than nearly all attempts is likely to be
+# in a garbage collection or compaction pause; it is avoided for this time.
+STALL_S = 0.2
+# Backoff of a replica whose attempts fail, doubled by each failed probe.
+EJECT_MIN_S, EJECT_MAX_S = 0.25, 4.0
+# Failures in a row that eject; single ones are routine.
+N_FAILURES_TO_EJECT = 2
+# The acceptance of a replica that refuses everything, so that costs stay finite.
+ACCEPTANCE_MIN = 0.05
+
+
+@dataclass(slots=True)
+class LiveReplica:
+    """An entry with what the attempts of this host showed; times in seconds."""
+
+    entry: ReplicaEntry
+    seen_at: float
+    in_flight: int = 0
+    slowness: float = 1.0  # time of an attempt over the usual one of its route
+    slowness_at: float = 0.0
+    acceptance: float = 1.0  # part of the attempts that were run and answered
+    acceptance_at: float = 0.0
+    stalled_until: float = 0.0
+    n_failures: int = 0
+    backoff_s: float = EJECT_MIN_S
+    ejected_until: float = 0.0
+    lapsed_at: float | None = None  # its entry expired while the store was away
+    crashed_at: float | None = field(default=None)
+
+    def is_ejected(self, now: float) -> bool:
+        """Tell whether new work avoids the replica; one attempt at a time probes."""
+        if self.ejected_until == 0.0:
+            return False
+        return now < self.ejected_until or self.in_flight > 0
+
+    def slowness_now(self, now: float) -> float:
+        """Return the expected slowness; old observations fade."""
+        fade = math.exp(-max(0.0, now - self.slowness_at) / MEMORY_S)
+        slowness = 1.0 + (self.slowness - 1.0) * fade
+        if now < self.seen_at + self.entry.cold_s:
+            slowness = max(slowness, COLD_SLOWNESS)
+        return slowness
+
+    def acceptance_now(self, now: float) -> float:
+        """Return the expected part of attempts that are answered."""
+        fade = math.exp(-max(0.0, now - self.acceptance_at) / MEMORY_S)
+        return max(ACCEPTANCE_MIN, 1.0 + (self.acceptance - 1.0) * fade)
+
+    def expected_s(self, usual_s: float, distance_s: float, now: float) -> float:
+        """Return the expected time of one more attempt."""
+        queue = max(1.0, (self.in_flight + 1) / max(1, self.entry.n_slots))
+        wait_s = usual_s * self.slowness_now(now) * queue
+        if now < self.stalled_until:
+            wait_s += STALL_S
+        return (distance_s + wait_s) / self.acceptance_now(now)
+
+    def on_answer(self, slowness: float, now: float) -> None:
+        """Learn from an answer, which ends any suspicion."""
+        self._learn_slowness(slowness, now)
+        self._learn_acceptance(1.0, now)
+        self.stalled_until = 0.0
+        self.n_failures = 0
+        self.ejected_until = 0.0
+        self.backoff_s = EJECT_MIN_S
+
+    def on_silence(self, slowness: float, now: float) -> None:
+        """Learn that an attempt takes at least `slowness` times the usual time."""
+        if slowness > self.slowness_now(now):
+            self._learn_slowness(slowness, now)
+        self.stalled_until = now + STALL_S
+
+    def on_refusal(self, now: float) -> None:
+        """Learn that an attempt was refused without being run."""
+        self._learn_acceptance(0.0, now)
+
+    def on_failure(self, now: float, *, at_once: bool = False) -> float:
+        """Learn from a failed attempt; return the backoff if it ejects, else 0."""
+        self._learn_acceptance(0.0, now)
+        self.n_failures += 1
+        if now < self.ejected_until:
+            # Attempts sent before an ejection fail after it and add no evidence.
+            return 0.0
+        if not at_once and self.n_failures < N_FAILURES_TO_EJECT:
+            return 0.0
+        backoff_s = self.backoff_s
+        self.ejected_until = now + backoff_s
+        self.backoff_s = min(2 * backoff_s, EJECT_MAX_S)
+        return backoff_s
+
+    def _learn_slowness(self, slowness: float, now: float) -> None:
+        bounded = min(max(slowness, SLOWNESS_MIN), SLOWNESS_MAX)
+        current = self.slowness_now(now)
+        self.slowness = current + SAMPLE_WEIGHT * (bounded - current)
+        self.slowness_at = now
+
+    def _learn_acceptance(self, accepted: float, now: float) -> None:
+        current = self.acceptance_now(now)
+        self.acceptance = current + SAMPLE_WEIGHT * (accepted - current)
+        self.acceptance_at = now
--- /dev/null
+++ b/jackdawsill/gateway/__init__.py
@@ -0,0 +1,32 @@
+"""A gateway process: forwarded calls over sockets, following a platform's store."""
+
+from jackdawsill.gateway._build import build_gateway_state
+from jackdawsill.gateway._follower import StoreFollower
+from jackdawsill.gateway._log_events import BAD_ENTRY
+from jackdawsill.gateway._main import run
+from jackdawsill.gateway._peers import PeerNews
+from jackdawsill.gateway._process import GatewayProcess
+from jackdawsill.gateway._settings import GatewaySettings, load_gateway_settings
+from jackdawsill.gateway._store import (
+    BaseStore,
+    HistoryLost,
+    StoreChanges,
+    StoreSnapshot,
+    StoreUnavailable,
+)
+
+__all__ = [
+    "BAD_ENTRY",
+    "BaseStore",
+    "GatewayProcess",
+    "GatewaySettings",
+    "HistoryLost",
+    "PeerNews",
+    "StoreChanges",
+    "StoreFollower",
+    "StoreSnapshot",
+    "StoreUnavailable",
+    "build_gateway_state",
+    "load_gateway_settings",
+    "run",
+]
--- /dev/null
+++ b/jackdawsill/gateway/_main.py
@@ -0,0 +1,98 @@
+"""Start of a gateway process with the parts that know the platform."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Callable
+
+import uvloop
+
+from jackdawsill.gateway import _log_events as log_events
+from jackdawsill.gateway._process import GatewayProcess
+from jackdawsill.gateway._settings import GatewaySettings, load_gateway_settings
+from jackdawsill.gateway._store import BaseStore
+from jackdawsill.http1 import BaseDialect
+from jackdawsill.ini_check import SettingsInvalid
+from jackdawsill.logs import JsonHandler, log_event
+from jackdawsill.runtime import tune_gc
+
+EXIT_OK = 0
+EXIT_START_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+# The settings file may change without a signal; looking costs one system call.
+SETTINGS_CHECK_S = 2.0
+
+MakeStore = Callable[[GatewaySettings], BaseStore]
+
+
+class _SettingsFile:
+    """Read the settings again when they are changed."""
+
+    def __init__(self, path: str, gateway: GatewayProcess) -> None:
+        self.path = path
+        self.gateway = gateway
+        self.changed_ns_ = self._changed_ns()
+
+    def reload(self) -> None:
+        """Apply the settings that a running process can change."""
+        try:
+            cfg = load_gateway_settings(self.path)
+        except SettingsInvalid as exc:
+            self.gateway.driver.log(log_events.GATEWAY_RELOADED, outcome=str(exc))
+            return
+        self.gateway.apply(cfg)
+        self.gateway.driver.log(log_events.GATEWAY_RELOADED, outcome="applied")
+
+    async def follow(self) -> None:
+        """Look for changes from time to time."""
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            changed_ns = self._changed_ns()
+            if changed_ns != self.changed_ns_:
+                self.changed_ns_ = changed_ns
+                self.reload()
+
+    def _changed_ns(self) -> int:
+        try:
+            return os.stat(self.path).st_mtime_ns
+        except OSError:
+            # Replaced at this moment; the next look finds the new file.
+            return 0
+
+
+async def run_gateway(
+    cfg: GatewaySettings, path: str, dialect: BaseDialect, store: BaseStore
+) -> int:
+    """Run one gateway until its graceful stop has ended."""
+    gateway = GatewayProcess(cfg, dialect, store)
+    settings_file = _SettingsFile(path, gateway)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, gateway.request_stop)
+    loop.add_signal_handler(signal.SIGHUP, settings_file.reload)
+    try:
+        await gateway.start()
+    except OSError as exc:
+        log_event(log_events.START_REFUSED, detail=repr(exc))
+        gateway.stop()
+        return EXIT_START_FAILED
+    follow = loop.create_task(settings_file.follow())
+    tune_gc()
+    await gateway.exited.wait()
+    follow.cancel()
+    return EXIT_OK
+
+
+def run(path: str, dialect: BaseDialect, make_store: MakeStore) -> int:
+    """Check the settings and run a gateway; return the exit status."""
+    # A reader of the logs that has stopped must not stop the process.
+    os.set_blocking(sys.stdout.fileno(), False)
+    with JsonHandler(sys.stdout).applicationbound():
+        try:
+            cfg = load_gateway_settings(path)
+        except SettingsInvalid as exc:
+            for problem in exc.problems:
+                log_event(log_events.START_REFUSED, detail=str(problem))
+            return EXIT_BAD_SETTINGS
+        return uvloop.run(run_gateway(cfg, path, dialect, make_store(cfg)))
--- /dev/null
+++ b/jackdawsill/gateway/_process.py
@@ -0,0 +1,236 @@
+"""One gateway process: its ports, its driver and its clients."""
+
+import asyncio
+import random
+import time
+
+from jackdawsill.core import (
+    Count,
+    Event,
+    Exit,
+    HostState,
+    Observe,
+    SetReadiness,
+    StopRequested,
+)
+from jackdawsill.exceptions import JackdawsillError
+from jackdawsill.forwarding import (
+    AbortAttempt,
+    CallAbandoned,
+    CallArrived,
+    CheckStore,
+    CloseCallers,
+    DropIdleConnections,
+    DropReplica,
+    PassAnswer,
+    RefuseCall,
+    ReplicaRegistry,
+    RouteCatalog,
+    SendAttempt,
+    SendMerged,
+)
+from jackdawsill.gateway import _log_events as log_events
+from jackdawsill.gateway._build import build_gateway_state
+from jackdawsill.gateway._follower import StoreFollower
+from jackdawsill.gateway._operator import OperatorPort
+from jackdawsill.gateway._peers import PeerNews
+from jackdawsill.gateway._settings import GatewaySettings
+from jackdawsill.gateway._store import BaseStore, StoreSnapshot
+from jackdawsill.http1 import (
+    BaseDialect,
+    CallServer,
+    RawRequest,
+    ReplicaClient,
+    end_to_end,
+)
+from jackdawsill.runtime import Driver, InternalFault
+
+
+def boot_clock() -> float:
+    """Return seconds that go on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address in the settings."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _other_seeds(cfg: GatewaySettings) -> tuple[str, ...]:
+    """Return the seeds without the host itself."""
+    own = cfg.ports.peers
+    return tuple(seed for seed in cfg.store.seed_addresses() if seed != own)
+
+
+class GatewayProcess:
+    """Run one gateway in the current loop.
+
+    `dialect` translates the headers of callers and replicas, `store` the platform's
+    store; both are the only parts that know the platform.
+    """
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        dialect: BaseDialect,
+        store: BaseStore,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.cfg = cfg
+        self.dialect = dialect
+        self.rng = rng or random.Random()
+        self.exited = asyncio.Event()
+        self.state: HostState = build_gateway_state(cfg, self.rng)
+        self.driver = Driver(self.state, boot_clock)
+        self.driver.on_fault = self._on_fault
+        catalog = self.state.part(RouteCatalog)
+        self.callers = CallServer(
+            self._on_request,
+            self._on_gone,
+            lambda: catalog.limits,
+            self.state.next_id,
+            self._on_reject,
+            boot_clock,
+        )
+        self.replicas = ReplicaClient(
+            dialect, self.driver.feed, self._on_connected, boot_clock
+        )
+        self.operators = OperatorPort(self.state, self._status, boot_clock)
+        self.peers = PeerNews(_other_seeds(cfg), self._news, self.rng, self.driver.log)
+        self.follower = StoreFollower(
+            store, self.driver.feed, self.peers.ask, self.rng, boot_clock
+        )
+        self._register_actions()
+
+    async def start(self) -> None:
+        """Start the driver, open all ports and begin to follow the store."""
+        self.driver.start()
+        self.replicas.start()
+        ports = self.cfg.ports
+        await self.operators.start(
+            split_address(ports.health),
+            (split_address(ports.callers)[0], self.cfg.metrics.port),
+        )
+        if ports.peers:
+            await self.peers.start(*split_address(ports.peers))
+        await self.callers.start(*split_address(ports.callers))
+        self.follower.start()
+        self.driver.log(
+            log_events.GATEWAY_STARTED,
+            callers=ports.callers,
+            health=ports.health,
+            peers=ports.peers,
+            store=self.cfg.store.address,
+        )
+
+    def request_stop(self) -> None:
+        """Ask for a graceful stop; `exited` is set at its end."""
+        self.driver.log(log_events.GATEWAY_STOPPING, n_calls=len(self.callers.open_))
+        self.driver.feed(StopRequested())
+
+    def apply(self, cfg: GatewaySettings) -> None:
+        """Apply changed settings: the seeds; all others hold for a process's life."""
+        self.cfg = cfg
+        self.peers.seeds = _other_seeds(cfg)
+
+    def stop(self) -> None:
+        """Close everything."""
+        if self.exited.is_set():
+            return
+        self.driver.stop()
+        self.follower.stop()
+        self.peers.stop()
+        self.callers.stop()
+        self.replicas.stop()
+        self.operators.stop()
+        self.driver.log(log_events.GATEWAY_STOPPED)
+        self.exited.set()
+
+    def _register_actions(self) -> None:
+        self.driver.actions.update(
+            {
+                SendAttempt: self.replicas.send,
+                AbortAttempt: self.replicas.abort,
+                DropReplica: self.replicas.drop,
+                DropIdleConnections: self.replicas.drop_all_idle,
+                CheckStore: self.follower.check_now,
+                PassAnswer: self._pass_answer,
+                SendMerged: self._send_merged,
+                RefuseCall: self._refuse,
+                CloseCallers: self._close_callers,
+                SetReadiness: self.operators.set_readiness,
+                Count: self.operators.count,
+                Observe: self.operators.observe,
+                Exit: lambda effect: self.stop(),
+            }
+        )
+
+    def _on_request(self, call_id: int, raw: RawRequest) -> None:
+        """Turn a request into an event, or refuse it as not valid."""
+        body = b"".join(raw.body)
+        try:
+            req = self.dialect.read_request(
+                raw.method, raw.target, tuple(raw.headers), body
+            )
+        except ValueError as exc:
+            self.driver.log(log_events.BAD_CALL, detail=str(exc)[:200])
+            self.callers.reply(call_id, 400)
+            return
+        self.driver.feed(CallArrived(call_id, req))
+
+    def _on_gone(self, call_id: int) -> None:
+        self.driver.feed(CallAbandoned(call_id))
+
+    def _on_reject(self, status: int) -> None:
+        self.driver.log(log_events.BAD_CALL, detail=f"answered {status}")
+
+    def _on_connected(self, replica: str, elapsed_s: float) -> None:
+        self.state.part(ReplicaRegistry).on_connected(replica, elapsed_s)
+
+    def _on_fault(self, event: Event, error: InternalFault) -> None:
+        """Answer a call whose handler failed; an attempt of it may be under way."""
+        if isinstance(event, CallArrived):
+            self.callers.reply(event.call_id, 500)
+
+    def _pass_answer(self, effect: PassAnswer) -> None:
+        answer = effect.answer
+        headers = end_to_end(answer.headers)
+        self.callers.reply(effect.call_id, answer.status, headers, answer.body)
+
+    def _send_merged(self, effect: SendMerged) -> None:
+        headers = self.dialect.merged_headers(effect.answer)
+        self.callers.reply(effect.call_id, 200, headers, effect.answer.body)
+
+    def _refuse(self, effect: RefuseCall) -> None:
+        error: JackdawsillError = effect.error
+        headers = ()
+        if error.retry_after_ms is not None:
+            seconds = f"{error.retry_after_ms / 1000:.3f}".encode()
+            headers = ((b"Retry-After", seconds),)
+        text = f"{error}\n".encode()
+        self.callers.reply(effect.call_id, error.status, headers, text)
+
+    def _close_callers(self, effect: CloseCallers) -> None:
+        self.callers.close_callers(idle_now=effect.idle_now)
+
+    def _news(self, version: int, revision: int) -> StoreSnapshot | None:
+        """Return routes and replicas for a peer if they are current and newer."""
+        registry = self.state.part(ReplicaRegistry)
+        catalog = self.state.part(RouteCatalog)
+        own_revision = registry.revision_
+        if registry.store_lost_at_ is not None or own_revision is None:
+            return None
+        if own_revision <= revision and catalog.version <= version:
+            return None
+        entries = tuple(r.entry for r in registry.replicas_.values())
+        return StoreSnapshot(catalog.routes_, entries, own_revision)
+
+    def _status(self) -> dict[str, object]:
+        """Return the process's own part of the status."""
+        return {
+            "callers": len(self.callers.connections),
+            "calls_waiting": len(self.callers.open_),
+            "replica_connections": self.replicas.n_connections,
+            "store_confirmed_at": self.follower.confirmed_at_,
+        }
--- /dev/null
+++ b/jackdawsill/gateway/_settings.py
@@ -0,0 +1,148 @@
+"""Settings of a gateway, read from one INI file and checked."""
+
+import os
+from dataclasses import MISSING, dataclass, field, fields
+from pathlib import Path
+from typing import Annotated, Any, get_type_hints
+
+import msgspec
+
+from jackdawsill.ini import IniSection
+from jackdawsill.ini_check import (
+    BadSetting,
+    MissingSetting,
+    SettingsCollector,
+    SettingsInvalid,
+)
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=10_000)]
+Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+
+
+@dataclass(slots=True, frozen=True)
+class GatewayHost:
+    """The host itself; `grace_s` is its time from the request to stop to the end."""
+
+    name: Name
+    failure_domain: Name
+    grace_s: Seconds
+    settle_s: Seconds
+
+
+@dataclass(slots=True, frozen=True)
+class GatewayPorts:
+    """Addresses as ip:port; the inner ports are free for the project's own use."""
+
+    callers: Address
+    health: Address
+    peers: str
+    inner_first: Port
+    inner_last: Port
+
+
+@dataclass(slots=True, frozen=True)
+class GatewayStore:
+    """The platform's store; `seeds` are peers that may know what it says."""
+
+    address: Address
+    seeds: str = ""
+
+    def seed_addresses(self) -> tuple[str, ...]:
+        """Return the seeds one by one."""
+        return tuple(seed for seed in self.seeds.split(",") if seed)
+
+
+@dataclass(slots=True, frozen=True)
+class GatewayCalls:
+    """Time that calls spend between caller and host, out of their objective."""
+
+    caller_network_ms: Milliseconds
+
+
+@dataclass(slots=True, frozen=True)
+class GatewayRetries:
+    """Budget of the whole fleet for attempts beyond the first, per service."""
+
+    ratio: Ratio
+    slack: Annotated[float, msgspec.Meta(ge=0)]
+    window_s: Seconds
+
+
+@dataclass(slots=True, frozen=True)
+class GatewayMetrics:
+    """Port of the metrics and the status; 0 lets the kernel choose one."""
+
+    port: Port = 0
+
+
+@dataclass(slots=True, frozen=True)
+class GatewaySettings:
+    """All settings of a gateway."""
+
+    host: GatewayHost
+    ports: GatewayPorts
+    store: GatewayStore
+    calls: GatewayCalls
+    retries: GatewayRetries
+    metrics: GatewayMetrics
+    # Failure domain -> region.
+    regions: dict[str, str] = field(default_factory=dict)
+
+
+SECTIONS: dict[str, type] = {
+    "host": GatewayHost,
+    "ports": GatewayPorts,
+    "store": GatewayStore,
+    "calls": GatewayCalls,
+    "retries": GatewayRetries,
+    "metrics": GatewayMetrics,
+}
+# The one section whose keys are names of the deployment.
+REGIONS = "regions"
+
+
+def load_gateway_settings(path: str | os.PathLike[str]) -> GatewaySettings:
+    """Return checked settings; raise `SettingsInvalid` with all errors."""
+    collector = SettingsCollector(str(path))
+    ini_file = collector.read(Path(path))
+    picked = collector.pick_sections(ini_file.sections, [*SECTIONS, REGIONS])
+    loaded = {
+        name: _load(name, picked.get(name, IniSection(name, 1)), collector)
+        for name in SECTIONS
+    }
+    regions = {}
+    if REGIONS in picked:
+        entries = picked[REGIONS].entries
+        regions = {key: entry.value for key, entry in entries.items()}
+    if collector.problems:
+        raise SettingsInvalid(collector.file, collector.problems)
+    return GatewaySettings(**loaded, regions=regions)
+
+
+def _load(name: str, section: IniSection, collector: SettingsCollector) -> Any:
+    """Return the typed section, or None after reporting its errors."""
+    section_type = SECTIONS[name]
+    hints = get_type_hints(section_type, include_extras=True)
+    values = collector.known_values(section, list(hints))
+    loaded = {}
+    n_before = len(collector.problems)
+    for spec in fields(section_type):
+        if spec.name not in values:
+            if spec.default is MISSING:
+                message = f"key {spec.name!r} is missing"
+                collector.add(MissingSetting, message, section.line, name)
+            continue
+        try:
+            value = msgspec.convert(values[spec.name], hints[spec.name], strict=False)
+        except msgspec.ValidationError as exc:
+            line = section.entries[spec.name].line
+            collector.add(BadSetting, f"{spec.name}: {exc}", line, name)
+        else:
+            loaded[spec.name] = value
+    if len(collector.problems) > n_before:
+        return None
+    return section_type(**loaded)
--- /dev/null
+++ b/jackdawsill/http1/__init__.py
@@ -0,0 +1,21 @@
+"""HTTP/1.1 connections to callers and replicas on httptools."""
+
+from jackdawsill.http1._client import ReplicaClient, encode_request
+from jackdawsill.http1._dialect import AttemptFault, BaseDialect, end_to_end
+from jackdawsill.http1._exchange import Exchange, ExchangeFailed
+from jackdawsill.http1._server import CallServer, RawRequest, encode_reply
+from jackdawsill.http1._sockets import keep_alive_probes
+
+__all__ = [
+    "AttemptFault",
+    "BaseDialect",
+    "CallServer",
+    "Exchange",
+    "ExchangeFailed",
+    "RawRequest",
+    "ReplicaClient",
+    "encode_reply",
+    "encode_request",
+    "end_to_end",
+    "keep_alive_probes",
+]
--- /dev/null
+++ b/jackdawsill/http1/_exchange.py
@@ -0,0 +1,114 @@
+"""Single requests to a service, one after the other on one kept connection."""
+
+import asyncio
+
+import httptools
+
+from jackdawsill.http1._sockets import keep_alive_probes
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+class ExchangeFailed(Exception):
+    """The service gave no complete answer in time."""
+
+
+class _ExchangeProtocol(asyncio.Protocol):
+    """One connection of an `Exchange`."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.answer: asyncio.Future | None = None
+        self.body: list[bytes] = []
+        self.n_body = 0
+        self.is_reusable = True
+
+    def connection_made(self, transport) -> None:
+        """Watch for a peer that is gone without a sign."""
+        self.transport = transport
+        keep_alive_probes(transport.get_extra_info("socket"))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse the answer."""
+        if self.answer is None:
+            self.transport.abort()
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            self._fail(f"not HTTP: {exc}")
+
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        self.body = []
+        self.n_body = 0
+
+    def on_body(self, data: bytes) -> None:
+        """Collect the body up to a bound."""
+        self.n_body += len(data)
+        if self.n_body > MAX_ANSWER_BYTES:
+            raise ValueError("the answer is over the bound")
+        self.body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Hand over the answer."""
+        answer, self.answer = self.answer, None
+        self.is_reusable = self.parser.should_keep_alive()
+        if answer is not None and not answer.done():
+            answer.set_result((self.parser.get_status_code(), b"".join(self.body)))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the request in progress."""
+        self.is_reusable = False
+        self._fail("connection lost")
+
+    def _fail(self, detail: str) -> None:
+        answer, self.answer = self.answer, None
+        self.is_reusable = False
+        self.transport.abort()
+        if answer is not None and not answer.done():
+            answer.set_exception(ExchangeFailed(detail))
+
+
+class Exchange:
+    """Send requests to one address; `host` and `port` name the service."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._conn: _ExchangeProtocol | None = None
+
+    async def get(self, target: str, timeout_s: float) -> tuple[int, bytes]:
+        """Return status and body; raise ExchangeFailed without a whole answer."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                conn = await self._connection()
+                conn.answer = asyncio.get_running_loop().create_future()
+                head = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n"
+                conn.transport.write(head.encode())
+                return await conn.answer
+        except TimeoutError as exc:
+            self.close()
+            raise ExchangeFailed("no answer in time") from exc
+        except OSError as exc:
+            raise ExchangeFailed(type(exc).__name__) from exc
+        except (ExchangeFailed, asyncio.CancelledError):
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Close the connection; the next request opens another."""
+        conn, self._conn = self._conn, None
+        if conn is not None and conn.transport is not None:
+            conn.answer = None
+            conn.transport.abort()
+
+    async def _connection(self) -> _ExchangeProtocol:
+        if self._conn is not None and self._conn.is_reusable:
+            return self._conn
+        self.close()
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        _, conn = await loop.create_connection(_ExchangeProtocol, host, int(port))
+        self._conn = conn
+        return conn
--- a/jackdawsill/metrics/__init__.py
+++ b/jackdawsill/metrics/__init__.py
@@ -1,7 +1,8 @@
 """Metrics: OpenTelemetry instruments and mergeable latency histograms."""
 
+from typing import Any
+
 from jackdawsill.metrics._errors import HistogramInvalid
-from jackdawsill.metrics._histograms import HistogramCopy, LatencyHistograms
 from jackdawsill.metrics._instruments import (
     Instruments,
     MetricsMode,
@@ -26,3 +27,14 @@
     "MetricsSettings",
     "register_metric",
 ]
+
+_HISTOGRAM_NAMES = frozenset({"HistogramCopy", "LatencyHistograms"})
+
+
+def __getattr__(name: str) -> Any:
+    """Import the mergeable histograms on first use; a gateway needs none of them."""
+    if name in _HISTOGRAM_NAMES:
+        from jackdawsill.metrics import _histograms
+
+        return getattr(_histograms, name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/jackdawsill/metrics/_registry.py
+++ b/jackdawsill/metrics/_registry.py
@@ -44,6 +44,13 @@
 # stand here, so that operators find all of them in one place.
 COUNTERS: tuple[tuple[str, str, tuple[str, ...]], ...] = (
     ("answers_discarded", "Backend answers that were not used.", ("reason",)),
+    ("forwarding_answers_partial", "Merged answers that lack a part.", ()),
+    ("forwarding_attempts_failed", "Failed attempts of calls.", ("kind",)),
+    ("forwarding_calls_abandoned", "Calls whose caller left.", ()),
+    ("forwarding_calls_refused", "Refused calls.", ("error",)),
+    ("forwarding_hedges_sent", "Second attempts for a slow part.", ()),
+    ("forwarding_hedges_withheld", "Hedges that the budget did not allow.", ()),
+    ("forwarding_retries_sent", "Attempts after a failed one.", ()),
     ("hedges_sent", "Second sub-requests for a slow shard.", ()),
     ("membership_handshakes_refused", "Peers that did not prove themselves.", ()),
     ("membership_lost", "Hosts that were declared lost.", ()),
@@ -78,6 +85,13 @@
     "Time from the arrival of a query to its answer.",
     ("route",),
 )
+FORWARDING_CALL_SECONDS = register_metric(
+    "forwarding_call_seconds",
+    MetricKind.HISTOGRAM,
+    "s",
+    "Time from the arrival of a call to its reply.",
+    ("route",),
+)
 UNREGISTERED = register_metric(
     "metrics_unregistered",
     MetricKind.COUNTER,
--- a/jackdawsill/daemon/_driver.py
+++ b/jackdawsill/runtime/_driver.py
@@ -14,19 +14,18 @@
     Event,
     HostState,
     LogEvent,
-    QueryArrived,
     SetTimer,
     Tick,
     TimerFired,
     reduce,
 )
-from jackdawsill.daemon._errors import InternalFault
-from jackdawsill.daemon._log_events import (
+from jackdawsill.logs import log_fields
+from jackdawsill.runtime._errors import InternalFault
+from jackdawsill.runtime._log_events import (
     EFFECT_FAILED,
     HANDLER_FAILED,
     UNKNOWN_EFFECT,
 )
-from jackdawsill.logs import log_fields
 
 # The loop's timers have a resolution of 1 ms. Delays are rounded up to it, since a
 # rounded-down delay makes the loop spin until the timer is due.
@@ -50,7 +49,7 @@
         "_timer_wake_at",
         "actions",
         "clock",
-        "on_query_fault",
+        "on_fault",
         "state",
         "stopped_",
     )
@@ -65,7 +64,7 @@
             ClearTimer: self._clear_timer,
             LogEvent: self._log_event,
         }
-        self.on_query_fault: Callable[[int, InternalFault], None] | None = None
+        self.on_fault: Callable[[Event, InternalFault], None] | None = None
         self.stopped_ = False
         self._loop: asyncio.AbstractEventLoop | None = None
         self._queue: deque[Event] = deque()
@@ -116,11 +115,10 @@
             effects = reduce(self.state, event, self.clock())
         except Exception as exc:
             self.log(HANDLER_FAILED, event=type(event).__name__, detail=repr(exc))
-            if isinstance(event, QueryArrived) and self.on_query_fault is not None:
-                # The effects of this event are lost, so nothing was sent.
-                self.on_query_fault(
-                    event.query_id, InternalFault("the request could not be handled")
-                )
+            if self.on_fault is not None:
+                # The effects of this event are lost, so nothing was sent for it.
+                error = InternalFault("the request could not be handled")
+                self.on_fault(event, error)
             return
         actions = self.actions
         for effect in effects:
--- a/jackdawsill/settings/__init__.py
+++ b/jackdawsill/settings/__init__.py
@@ -1,6 +1,6 @@
 """Process settings read from one INI file."""
 
-from jackdawsill.settings._errors import (
+from jackdawsill.ini_check import (
     BadSetting,
     MissingSetting,
     RepeatedSetting,
