Never repeat a call that a replica answered with its own failure

Cause: the retry after a replica's own 5xx answer did not ask whether the route allows a repeat, so a call that may run once could run twice.

Change: only failures that are known not to have run bypass the check of the route. Crash evidence is wired to lost connections that are followed by a refused one, and counts crashes in place of distinct replicas, since the same replicas come back.

--- a/jackdawsill/forwarding/_crashes.py
+++ b/jackdawsill/forwarding/_crashes.py
@@ -6,7 +6,7 @@
 
 from jackdawsill.forwarding._model import ForwardRequest
 
-# Replicas that one request must have crashed, within EVIDENCE_S, to be condemned.
+# Crashes of replicas by one request, within EVIDENCE_S, that condemn it.
 N_CRASHES_TO_CONDEMN = 3
 EVIDENCE_S = 60.0
 CONDEMNED_S = 600.0
@@ -15,9 +15,9 @@
 
 @dataclass(slots=True)
 class _Evidence:
-    """Replicas that crashed while a request ran on them."""
+    """Crashes of replicas while a request ran on them."""
 
-    replicas: set[str] = field(default_factory=set)
+    crashes: list[str] = field(default_factory=list)
     last_at: float = 0.0
     condemned_until: float = 0.0
 
@@ -44,13 +44,13 @@
         """Record a crashed replica; return whether it condemns the request."""
         evidence = self.evidence_.setdefault(key, _Evidence())
         if now - evidence.last_at > EVIDENCE_S:
-            evidence.replicas.clear()
-        evidence.replicas.add(replica)
+            evidence.crashes.clear()
+        evidence.crashes.append(replica)
         evidence.last_at = now
         self.evidence_.move_to_end(key)
         while len(self.evidence_) > MAX_KEPT:
             self.evidence_.popitem(last=False)
-        if len(evidence.replicas) < N_CRASHES_TO_CONDEMN:
+        if len(evidence.crashes) < N_CRASHES_TO_CONDEMN:
             return False
         evidence.condemned_until = now + CONDEMNED_S
         return True
--- a/jackdawsill/forwarding/_log_events.py
+++ b/jackdawsill/forwarding/_log_events.py
@@ -87,7 +87,7 @@
 REQUEST_CONDEMNED = register_log_event(
     2512,
     "request_condemned",
-    "request {request} crashed {replica} and is refused from now on",
+    "requests like {fingerprint} crashed {replica} and others, and are refused",
     "The same request crashed several replicas; it is not sent to any other.",
     logbook.WARNING,
 )
--- a/jackdawsill/forwarding/_outcomes.py
+++ b/jackdawsill/forwarding/_outcomes.py
@@ -26,6 +26,7 @@
 )
 from jackdawsill.forwarding._finish import abandon, close_lingering, settle
 from jackdawsill.forwarding._registry import ReplicaRegistry
+from jackdawsill.forwarding._replica import LiveReplica
 
 # Failures that say nothing against the replica.
 _HARMLESS_KINDS = frozenset({FailureKind.CANCELLED})
@@ -74,7 +75,7 @@
     effects = [_attempt_line(attempt, f"status {answer.status}", now)]
     part.failure = answer
     part.outcome = f"status {answer.status}"
-    return [*effects, *_after_failure(state, part, now, may_repeat=True)]
+    return [*effects, *_after_failure(state, part, now, not_run=False)]
 
 
 @handles(AttemptFailed, needs=CallTable)
@@ -96,7 +97,7 @@
     if call.replied or part.is_settled:
         return effects
     part.outcome = str(kind)
-    return [*effects, *_after_failure(state, part, now, may_repeat=not_run)]
+    return [*effects, *_after_failure(state, part, now, not_run=not_run)]
 
 
 def _learn(
@@ -113,14 +114,14 @@
         # The address belongs to another process: this replica has ended.
         state.part(ReplicaRegistry).forget(replica.entry.name)
         return [DropReplica(replica.entry.name)]
+    effects: list[Effect] = []
     if kind is FailureKind.CRASH:
-        replica.crashed_at = now
-    elif kind is FailureKind.CONNECT and replica.crashed_at is not None:
-        # Refusing connections after a lost one: the process has ended.
-        replica.crashed_at = None
+        replica.on_lost(attempt.part.call.fingerprint, now)
+    elif kind is FailureKind.CONNECT:
+        effects += _condemn(state, replica, now)
     backoff_s = replica.on_failure(now, at_once=kind is FailureKind.CONNECT)
     if not backoff_s:
-        return []
+        return effects
     fields = {
         "replica": replica.entry.name,
         "service": replica.entry.service,
@@ -128,15 +129,26 @@
         "backoff_s": backoff_s,
         "n_failures": replica.n_failures,
     }
-    return [LogEvent(log_events.REPLICA_EJECTED, fields)]
+    return [*effects, LogEvent(log_events.REPLICA_EJECTED, fields)]
+
+
+def _condemn(state: HostState, replica: LiveReplica, now: float) -> list[Effect]:
+    """Count a crashed replica against the requests that it lost."""
+    evidence = state.part(CrashEvidence)
+    name = replica.entry.name
+    return [
+        LogEvent(log_events.REQUEST_CONDEMNED, {"fingerprint": key, "replica": name})
+        for key in replica.take_suspects(now)
+        if evidence.on_crash(key, name, now)
+    ]
 
 
 def _after_failure(
-    state: HostState, part: Part, now: float, *, may_repeat: bool
+    state: HostState, part: Part, now: float, *, not_run: bool
 ) -> list[Effect]:
     """Retry the part, wait for its other attempt, or give it up."""
     effects: list[Effect] = []
-    if may_repeat or part.call.route.idempotent:
+    if not_run or part.call.route.idempotent:
         sent = send_retry(state, part, now)
         if sent is not None:
             effects = sent
--- a/jackdawsill/forwarding/_replica.py
+++ b/jackdawsill/forwarding/_replica.py
@@ -20,6 +20,9 @@
 EJECT_MIN_S, EJECT_MAX_S = 0.25, 4.0
 # Failures in a row that eject; single ones are routine.
 N_FAILURES_TO_EJECT = 2
+# A replica that refuses connections within this time after it lost some has crashed.
+CRASH_CONFIRM_S = 3.0
+MAX_LOST_KEPT = 16
 # The acceptance of a replica that refuses everything, so that costs stay finite.
 ACCEPTANCE_MIN = 0.05
 
@@ -40,7 +43,8 @@
     backoff_s: float = EJECT_MIN_S
     ejected_until: float = 0.0
     lapsed_at: float | None = None  # its entry expired while the store was away
-    crashed_at: float | None = field(default=None)
+    # Requests whose connections were lost since the last answer: (time, fingerprint).
+    lost: list[tuple[float, int]] = field(default_factory=list)
 
     def is_ejected(self, now: float) -> bool:
         """Tell whether new work avoids the replica; one attempt at a time probes."""
@@ -74,6 +78,7 @@
         self._learn_slowness(slowness, now)
         self._learn_acceptance(1.0, now)
         self.stalled_until = 0.0
+        self.lost.clear()
         self.n_failures = 0
         self.ejected_until = 0.0
         self.backoff_s = EJECT_MIN_S
@@ -84,6 +89,17 @@
             self._learn_slowness(slowness, now)
         self.stalled_until = now + STALL_S
 
+    def on_lost(self, fingerprint: int, now: float) -> None:
+        """Remember a request whose connection was lost while it may have run."""
+        if len(self.lost) < MAX_LOST_KEPT:
+            self.lost.append((now, fingerprint))
+
+    def take_suspects(self, now: float) -> list[int]:
+        """Return the requests lost just before the replica refused a connection."""
+        suspects = [key for at, key in self.lost if now - at < CRASH_CONFIRM_S]
+        self.lost.clear()
+        return suspects
+
     def on_refusal(self, now: float) -> None:
         """Learn that an attempt was refused without being run."""
         self._learn_acceptance(0.0, now)
--- /dev/null
+++ b/jackdawsill/forwarding/tests/_host.py
@@ -0,0 +1,184 @@
+"""A gateway's decisions alone, driven by events with a clock of the test."""
+
+import random
+
+from jackdawsill.core import (
+    FailureKind,
+    HostState,
+    LogEvent,
+    SetTimer,
+    TimerFired,
+    reduce,
+)
+from jackdawsill.forwarding import (
+    AbortAttempt,
+    AttemptAnswered,
+    AttemptFailed,
+    CallAbandoned,
+    CallArrived,
+    CallTable,
+    CrashEvidence,
+    ForwardingPolicy,
+    ForwardRequest,
+    ForwardRoute,
+    GatewayLife,
+    PassAnswer,
+    RefuseCall,
+    ReplicaAnswer,
+    ReplicaEntry,
+    ReplicaRegistry,
+    ReplicasListed,
+    RetryBudget,
+    RouteCatalog,
+    RouteSet,
+    RoutesRead,
+    SendAttempt,
+    SendMerged,
+    WeightedService,
+)
+
+REGIONS = {"near": "north", "far": "south", "farther": "east"}
+RECORD = b"%016d"
+
+
+def fanout_route(n_shards: int = 4, **changes) -> ForwardRoute:
+    """Return a fan-out route over services s0, s1, ..."""
+    fields = {
+        "name": "sweep",
+        "host": b"a.example",
+        "prefix": b"/sweep/",
+        "idempotent": True,
+        "timeout_s": 1.2,
+        "objective_s": 0.138,
+        "rank": 1,
+        "n_attempts_max": 2,
+        "shards": tuple(f"s{i}" for i in range(n_shards)),
+        "top_k": 3,
+        "min_coverage": 0.75,
+    }
+    return ForwardRoute(**(fields | changes))
+
+
+def single_route(**changes) -> ForwardRoute:
+    """Return a route to the service `docs`."""
+    fields = {
+        "name": "fetch",
+        "host": b"a.example",
+        "prefix": b"/fetch/",
+        "idempotent": True,
+        "timeout_s": 4.0,
+        "objective_s": 0.4,
+        "rank": 2,
+        "n_attempts_max": 2,
+        "services": (WeightedService("docs", 1.0),),
+    }
+    return ForwardRoute(**(fields | changes))
+
+
+def entry(name: str, service: str, domain: str = "near", **changes) -> ReplicaEntry:
+    """Return the entry of a replica."""
+    fields = {
+        "name": name,
+        "service": service,
+        "address": f"10.0.0.1:{8000 + len(name)}",
+        "failure_domain": domain,
+        "n_slots": 2,
+    }
+    return ReplicaEntry(**(fields | changes))
+
+
+def request(target: bytes, request_id: bytes = b"r1", **changes) -> ForwardRequest:
+    """Return a caller's request."""
+    fields = {
+        "request_id": request_id,
+        "method": b"GET",
+        "target": target,
+        "host": b"a.example",
+        "deadline_s": 1.2,
+    }
+    return ForwardRequest(**(fields | changes))
+
+
+def signed(name: str, body: bytes = b"", status: int = 200) -> ReplicaAnswer:
+    """Return a replica's signed answer."""
+    return ReplicaAnswer(status, (), body, f"signed-{name}".encode())
+
+
+class GatewayModel:
+    """Feed events, keep the effects, and fire timers as time goes on."""
+
+    def __init__(self, *routes: ForwardRoute, domains=("near", "far", "farther")):
+        self.now = 100.0
+        self.state = HostState("h1", "near", random.Random(1))
+        for part in (
+            ForwardingPolicy(caller_network_s=0.015, settle_s=2.0, grace_s=6.0),
+            RouteCatalog(),
+            ReplicaRegistry("near", REGIONS),
+            RetryBudget(0.2, 104, 10),
+            CrashEvidence(),
+            CallTable(),
+            GatewayLife(),
+        ):
+            self.state.attach(part)
+        self.timers: dict[str, float] = {}
+        self.sent: list[SendAttempt] = []
+        self.aborted: list[int] = []
+        self.replies: list[PassAnswer | SendMerged | RefuseCall] = []
+        self.logs: list[LogEvent] = []
+        if routes:
+            services = {s for r in routes for s in r.shards}
+            services |= {w.service for r in routes for w in r.services}
+            self.feed(RoutesRead(RouteSet(7, routes, {}), "store"))
+            entries = [
+                entry(f"{service}-{domain}", service, domain)
+                for service in sorted(services)
+                for domain in domains
+            ]
+            self.feed(ReplicasListed(tuple(entries), 50, "store"))
+
+    def feed(self, event) -> list:
+        """Reduce an event now."""
+        effects = reduce(self.state, event, self.now)
+        for effect in effects:
+            if isinstance(effect, SendAttempt):
+                self.sent.append(effect)
+            elif isinstance(effect, AbortAttempt):
+                self.aborted.append(effect.attempt_id)
+            elif isinstance(effect, PassAnswer | SendMerged | RefuseCall):
+                self.replies.append(effect)
+            elif isinstance(effect, LogEvent):
+                self.logs.append(effect)
+            elif isinstance(effect, SetTimer):
+                self.timers[effect.timer_id] = effect.at_s
+        return effects
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass and fire the timers that come due."""
+        until = self.now + seconds
+        while self.timers:
+            timer_id, at_s = min(self.timers.items(), key=lambda item: item[1])
+            if at_s > until:
+                break
+            del self.timers[timer_id]
+            self.now = max(self.now, at_s)
+            self.feed(TimerFired(timer_id))
+        self.now = until
+
+    def call(self, target: bytes, call_id: int = 1, **changes) -> list[SendAttempt]:
+        """Let a call arrive and return the attempts sent at once."""
+        n_before = len(self.sent)
+        self.feed(CallArrived(call_id, request(target, **changes)))
+        return self.sent[n_before:]
+
+    def answer(self, send: SendAttempt, body: bytes = b"", status: int = 200) -> None:
+        """Answer an attempt."""
+        answer = signed(f"{send.attempt_id}", body, status)
+        self.feed(AttemptAnswered(send.attempt_id, answer))
+
+    def fail(self, send: SendAttempt, kind: FailureKind) -> None:
+        """Fail an attempt."""
+        self.feed(AttemptFailed(send.attempt_id, kind))
+
+    def leave(self, call_id: int = 1) -> None:
+        """Let the caller close its connection."""
+        self.feed(CallAbandoned(call_id))
--- /dev/null
+++ b/jackdawsill/forwarding/tests/test_fanout.py
@@ -0,0 +1,225 @@
+"""Fan-out calls: coverage, objective, merge, and one configuration each."""
+
+import unittest
+
+from jackdawsill.core import FailureKind
+from jackdawsill.exceptions import Outcome
+from jackdawsill.forwarding import (
+    AttemptAnswered,
+    CallTable,
+    RefuseCall,
+    ReplicasListed,
+    RouteSet,
+    RoutesRead,
+    SendMerged,
+    greatest_records,
+)
+from jackdawsill.forwarding._errors import CoverageTooLow, NoReplica
+from jackdawsill.forwarding.tests._host import (
+    RECORD,
+    GatewayModel,
+    entry,
+    fanout_route,
+    signed,
+)
+
+
+class TestMerge(unittest.TestCase):
+    """The merged body holds the greatest records of the parts."""
+
+    def test_greatest_first(self):
+        """Guards against merged answers in the order of arrival."""
+        bodies = [RECORD % 5 + RECORD % 1, RECORD % 9, RECORD % 7]
+        expected = RECORD % 9 + RECORD % 7 + RECORD % 5
+        self.assertEqual(greatest_records(bodies, 3), expected)
+
+    def test_equal_records_all_count(self):
+        """Guards against duplicates being dropped."""
+        self.assertEqual(greatest_records([RECORD % 2] * 3, 2), RECORD % 2 * 2)
+
+    def test_remainder_is_no_record(self):
+        """Guards against a truncated record in the merged body."""
+        self.assertEqual(greatest_records([RECORD % 2 + b"999"], 5), RECORD % 2)
+
+
+class TestCoverage(unittest.TestCase):
+    """A success covers enough shards of one configuration and says which."""
+
+    def setUp(self):
+        self.host = GatewayModel(fanout_route())
+
+    def test_all_parts(self):
+        """Guards against an answer that waits although all parts are in."""
+        for send in self.host.call(b"/sweep/2f"):
+            self.host.answer(send, RECORD % send.attempt_id)
+        (reply,) = self.host.replies
+        self.assertIsInstance(reply, SendMerged)
+        self.assertEqual(reply.answer.n_missing, 0)
+        self.assertEqual(len(reply.answer.signatures), 4)
+
+    def test_sufficient_answer_leaves_at_the_objective(self):
+        """Guards against a late complete answer in place of a timely partial one."""
+        sends = self.host.call(b"/sweep/2f")
+        for send in sends[:3]:
+            self.host.answer(send, RECORD % 1)
+        self.host.advance(0.122)
+        self.assertEqual(self.host.replies, [])
+        self.host.advance(0.002)
+        (reply,) = self.host.replies
+        self.assertEqual(reply.answer.n_missing, 1)
+
+    def test_insufficient_answer_goes_on_after_the_objective(self):
+        """Guards against a success below the minimum coverage."""
+        sends = self.host.call(b"/sweep/2f")
+        for send in sends[:2]:
+            self.host.answer(send)
+        self.host.advance(0.3)
+        self.assertEqual(self.host.replies, [])
+        self.host.answer(sends[2])
+        (reply,) = self.host.replies
+        self.assertEqual(reply.answer.n_missing, 1)
+
+    def test_hopeless_call_is_refused_at_once(self):
+        """Guards against holding a call that can no longer succeed."""
+        self.host.state.rng.seed(1)
+        self.host.call(b"/sweep/2f")
+        n_before = len(self.host.sent)
+        for send in list(self.host.sent):
+            self.host.answer(send, status=500)
+        for send in self.host.sent[n_before:]:
+            self.host.answer(send, status=500)
+        (reply,) = self.host.replies
+        self.assertIsInstance(reply.error, CoverageTooLow)
+        self.assertEqual(reply.error.status, 502)
+
+    def test_unknown_shards_are_refused_truly(self):
+        """Guards against sending parts of a call that cannot be covered."""
+        entries = tuple(entry(f"s{i}-near", f"s{i}") for i in range(2))
+        self.host.feed(ReplicasListed(entries, 60, "store"))
+        self.assertEqual(self.host.call(b"/sweep/2f"), [])
+        (reply,) = self.host.replies
+        self.assertIsInstance(reply.error, NoReplica)
+        self.assertIs(reply.error.outcome, Outcome.NOT_RUN)
+        self.assertIsNotNone(reply.error.retry_after_ms)
+
+    def test_parts_of_one_configuration(self):
+        """Guards against parts of two shard sets in one answer."""
+        sends = self.host.call(b"/sweep/2f")
+        other = fanout_route(shards=("t0", "t1"))
+        self.host.feed(RoutesRead(RouteSet(9, (other,), {}), "store"))
+        for send in sends:
+            self.host.answer(send)
+        (reply,) = self.host.replies
+        self.assertEqual(len(reply.answer.signatures), 4)
+
+    def test_repeated_signature_counts_once(self):
+        """Guards against one part that is named twice."""
+        sends = self.host.call(b"/sweep/2f")
+        for send in sends:
+            answer = signed("same" if send in sends[:2] else f"{send.attempt_id}")
+            self.host.feed(AttemptAnswered(send.attempt_id, answer))
+        (reply,) = self.host.replies
+        self.assertEqual(len(set(reply.answer.signatures)), 3)
+        self.assertEqual(reply.answer.n_missing, 1)
+
+    def test_second_answer_of_a_part_is_dropped(self):
+        """Guards against a hedge and its first attempt both in an answer."""
+        sends = self.host.call(b"/sweep/2f")
+        for send in sends[1:]:
+            self.host.answer(send)
+        self.host.advance(0.06)
+        hedge = self.host.sent[-1]
+        self.assertNotEqual(hedge.replica, sends[0].replica)
+        self.host.answer(hedge)
+        self.host.answer(sends[0])
+        (reply,) = self.host.replies
+        self.assertEqual(len(reply.answer.signatures), 4)
+
+
+class TestHedging(unittest.TestCase):
+    """Slow parts get a second attempt within the budget."""
+
+    def test_hedge_goes_to_another_replica(self):
+        """Guards against waiting for a paused replica."""
+        host = GatewayModel(fanout_route())
+        (first, *rest) = host.call(b"/sweep/2f")
+        for send in rest:
+            host.answer(send)
+        host.advance(0.06)
+        self.assertEqual(len(host.sent), 5)
+        self.assertNotEqual(host.sent[-1].replica, first.replica)
+
+    def test_slow_replica_is_avoided(self):
+        """Guards against the next call waiting for the same paused replica."""
+        host = GatewayModel(fanout_route())
+        (first, *rest) = host.call(b"/sweep/2f")
+        for send in rest:
+            host.answer(send)
+        host.advance(0.06)
+        (again, *_) = host.call(b"/sweep/30", call_id=2)
+        self.assertNotEqual(again.replica, first.replica)
+
+    def test_attempts_are_bounded(self):
+        """Guards against more replicas for a part than the route allows."""
+        host = GatewayModel(fanout_route(n_shards=1, min_coverage=0.5))
+        host.call(b"/sweep/2f")
+        for _ in range(5):
+            host.advance(0.05)
+            host.fail(host.sent[-1], FailureKind.CRASH)
+        self.assertLessEqual(len(host.sent), 2)
+
+    def test_budget_bounds_extra_attempts(self):
+        """Guards against retry storms: extras beyond the share of own calls."""
+        host = GatewayModel(fanout_route(n_shards=1, min_coverage=0.5))
+        n_calls = 100
+        for call_id in range(n_calls):
+            host.call(b"/sweep/2f", call_id=call_id)
+            host.advance(0.06)
+            for attempt_id in list(host.state.part(CallTable).attempts_):
+                host.feed(AttemptAnswered(attempt_id, signed(str(attempt_id))))
+        n_extra = len(host.sent) - n_calls
+        self.assertGreater(n_extra, 0)
+        self.assertLessEqual(n_extra, 0.2 * n_calls + 104 / 32 + 1)
+
+
+class TestLeaving(unittest.TestCase):
+    """A caller that has left causes no more work."""
+
+    def test_attempts_are_stopped(self):
+        """Guards against replicas that work for nobody."""
+        host = GatewayModel(fanout_route())
+        sends = host.call(b"/sweep/2f")
+        host.leave()
+        host.advance(0.3)
+        self.assertEqual(sorted(host.aborted), [s.attempt_id for s in sends])
+        self.assertEqual(len(host.sent), len(sends))
+        self.assertEqual(host.replies, [])
+
+    def test_nothing_is_sent_after_the_caller_left(self):
+        """Guards against retries and hedges for a caller that has left."""
+        host = GatewayModel(fanout_route())
+        sends = host.call(b"/sweep/2f")
+        host.leave()
+        host.fail(sends[0], FailureKind.CONNECT)
+        host.advance(0.2)
+        self.assertEqual(len(host.sent), len(sends))
+
+
+class TestUnanswered(unittest.TestCase):
+    """Calls end at their deadline."""
+
+    def test_deadline(self):
+        """Guards against a call held past its route's timeout."""
+        host = GatewayModel(fanout_route(timeout_s=0.5))
+        host.call(b"/sweep/2f")
+        host.advance(0.501)
+        (reply,) = host.replies
+        self.assertIsInstance(reply, RefuseCall)
+        self.assertEqual(reply.error.status, 504)
+
+    def test_deadline_of_the_caller(self):
+        """Guards against answers after the caller has given up."""
+        host = GatewayModel(fanout_route())
+        host.call(b"/sweep/2f", deadline_s=0.2)
+        host.advance(0.2)
+        self.assertEqual(len(host.replies), 1)
--- /dev/null
+++ b/jackdawsill/forwarding/tests/test_registry.py
@@ -0,0 +1,179 @@
+"""Live replicas: lists, changes, lapses, and the choice of one."""
+
+import random
+import unittest
+
+from jackdawsill.core import PauseDetected, Tick
+from jackdawsill.forwarding import (
+    CheckStore,
+    DropIdleConnections,
+    DropReplica,
+    LiveReplica,
+    ReplicaRegistry,
+    ReplicasChanged,
+    ReplicasListed,
+    RouteCatalog,
+    RouteSet,
+    RoutesRead,
+    StoreLost,
+    StoreRegained,
+    WeightedService,
+)
+from jackdawsill.forwarding.tests._host import (
+    REGIONS,
+    GatewayModel,
+    entry,
+    single_route,
+)
+
+USUAL_S = 0.02
+
+
+def registry(*entries) -> ReplicaRegistry:
+    """Return a registry near `near` with the entries."""
+    table = ReplicaRegistry("near", REGIONS)
+    table.list_all(entries, 1, 0.0)
+    return table
+
+
+class TestChoice(unittest.TestCase):
+    """The replica expected to answer first gets the attempt."""
+
+    def setUp(self):
+        self.table = registry(entry("n", "s", "near"), entry("f", "s", "far"))
+        self.rng = random.Random(1)
+
+    def pick(self, now=1.0, exclude=()):
+        """Return the name of the choice."""
+        replica = self.table.pick("s", exclude, USUAL_S, now, self.rng)
+        return replica and replica.entry.name
+
+    def test_near_first(self):
+        """Guards against bytes between regions without a reason."""
+        self.assertEqual(self.pick(), "n")
+
+    def test_slow_replica_loses_and_is_tried_again(self):
+        """Guards against a slow replica kept, or avoided for ever."""
+        for at in range(4):
+            self.table.replicas_["n"].on_answer(10.0, 1.0 + at / 10)
+        self.assertEqual(self.pick(1.5), "f")
+        self.assertEqual(self.pick(20.0), "n")
+
+    def test_refusing_replica_loses(self):
+        """Guards against a full replica that is asked again and again."""
+        for at in range(6):
+            self.table.replicas_["n"].on_refusal(1.0 + at / 100)
+        self.assertEqual(self.pick(1.1), "f")
+
+    def test_ejected_is_last_resort(self):
+        """Guards against a missing part while a replica might answer."""
+        self.table.replicas_["n"].on_failure(1.0, at_once=True)
+        self.assertEqual(self.pick(1.1), "f")
+        self.assertEqual(self.pick(1.1, exclude={"f"}), "n")
+
+    def test_none(self):
+        """Guards against a draining replica in the choice."""
+        draining = entry("n", "s", draining=True)
+        self.table.change([draining], ["f"], 2, 1.0)
+        self.assertIsNone(self.pick())
+
+
+class TestLiveReplica(unittest.TestCase):
+    """Backoff of failing replicas."""
+
+    def test_backoff_doubles_and_ends(self):
+        """Guards against constant probing, and against no probing."""
+        replica = LiveReplica(entry("n", "s"), 0.0)
+        first = replica.on_failure(1.0, at_once=True)
+        self.assertEqual(replica.on_failure(1.0), 0.0)
+        second = replica.on_failure(2.0, at_once=True)
+        self.assertEqual(second, 2 * first)
+        self.assertFalse(replica.is_ejected(10.0))
+
+    def test_one_failure_is_routine(self):
+        """Guards against ejecting a replica for one lost answer."""
+        replica = LiveReplica(entry("n", "s"), 0.0)
+        self.assertEqual(replica.on_failure(1.0), 0.0)
+        self.assertFalse(replica.is_ejected(1.0))
+
+
+class TestLapses(unittest.TestCase):
+    """Entries that expire while the store is away."""
+
+    def setUp(self):
+        self.host = GatewayModel(single_route())
+        self.table = self.host.state.part(ReplicaRegistry)
+
+    def remove(self, *names):
+        """Remove entries."""
+        self.host.feed(ReplicasChanged((), names, 60, "store"))
+
+    def test_removed_while_the_store_answers(self):
+        """Guards against sending to a replica that has left."""
+        self.remove("docs-near")
+        self.assertNotIn("docs-near", self.table.replicas_)
+
+    def test_expired_while_away_stays_until_it_should_be_back(self):
+        """Guards against losing all replicas because of the store's absence."""
+        self.host.feed(StoreLost("test"))
+        self.host.now += 5
+        self.host.feed(StoreRegained())
+        self.remove("docs-near", "docs-far")
+        self.assertIn("docs-near", self.table.replicas_)
+        self.host.feed(ReplicasChanged((entry("docs-near", "docs"),), (), 61, "store"))
+        self.host.now += 2.1
+        self.host.feed(Tick())
+        self.assertIn("docs-near", self.table.replicas_)
+        self.assertNotIn("docs-far", self.table.replicas_)
+
+    def test_draining_entry_that_goes_is_gone(self):
+        """Guards against sending to a replica that said it would leave."""
+        draining = entry("docs-near", "docs", draining=True)
+        self.host.feed(ReplicasChanged((draining,), (), 60, "store"))
+        self.host.feed(StoreLost("test"))
+        self.remove("docs-near")
+        self.assertNotIn("docs-near", self.table.replicas_)
+
+    def test_list_of_a_peer_is_current(self):
+        """Guards against keeping replicas that a peer knows to be gone."""
+        self.host.feed(StoreLost("test"))
+        entries = (entry("docs-near", "docs"),)
+        self.host.feed(ReplicasListed(entries, 70, "peer"))
+        self.assertEqual(list(self.table.replicas_), ["docs-near"])
+
+    def test_restart_under_the_same_name(self):
+        """Guards against observations and connections of an ended process."""
+        self.table.replicas_["docs-near"].on_failure(100.0, at_once=True)
+        again = entry("docs-near", "docs", incarnation="2")
+        effects = self.host.feed(ReplicasChanged((again,), (), 60, "store"))
+        self.assertIn(DropReplica("docs-near"), effects)
+        self.assertFalse(self.table.replicas_["docs-near"].is_ejected(100.0))
+
+
+class TestPause(unittest.TestCase):
+    """A process that did not run trusts nothing from before."""
+
+    def test_connections_and_beliefs(self):
+        """Guards against acting on an outdated view after a suspension."""
+        host = GatewayModel(single_route())
+        effects = host.feed(PauseDetected(5.0))
+        self.assertIn(DropIdleConnections(), effects)
+        self.assertIn(CheckStore(), effects)
+
+
+class TestCatalog(unittest.TestCase):
+    """Versions and weighted turns."""
+
+    def test_never_goes_back(self):
+        """Guards against an older configuration from a slow source."""
+        host = GatewayModel(single_route())
+        host.feed(RoutesRead(RouteSet(6, (), {}), "peer"))
+        self.assertEqual(host.state.part(RouteCatalog).version, 7)
+
+    def test_weights(self):
+        """Guards against shares that differ from the weights."""
+        services = (WeightedService("a", 3.0), WeightedService("b", 1.0))
+        route = single_route(services=services)
+        catalog = RouteCatalog()
+        turns = [catalog.next_service(route) for _ in range(400)]
+        self.assertEqual(turns.count("a"), 300)
--- /dev/null
+++ b/jackdawsill/forwarding/tests/test_single.py
@@ -0,0 +1,182 @@
+"""Calls to one replica: at most once, retries, true refusals."""
+
+import unittest
+
+from jackdawsill.core import FailureKind
+from jackdawsill.exceptions import Outcome
+from jackdawsill.forwarding import CallTable, PassAnswer, RefuseCall
+from jackdawsill.forwarding._errors import AttemptsFailed, NoReplica, NoSuchRoute
+from jackdawsill.forwarding.tests._host import GatewayModel, fanout_route, single_route
+
+MAYBE_RUN = (FailureKind.CRASH, FailureKind.BAD_ANSWER, FailureKind.TIMEOUT)
+NOT_RUN = (FailureKind.CONNECT, FailureKind.SHED, FailureKind.MISDIRECTED)
+
+
+class TestNotIdempotent(unittest.TestCase):
+    """A call that must not be repeated runs at most once."""
+
+    def setUp(self):
+        self.host = GatewayModel(single_route(idempotent=False))
+
+    def test_not_sent_again_after_it_may_have_run(self):
+        """Guards against two runs after a lost connection or a bad answer."""
+        for call_id, kind in enumerate(MAYBE_RUN):
+            with self.subTest(kind=kind):
+                (send,) = self.host.call(b"/fetch/1", call_id=call_id)
+                n_before = len(self.host.sent)
+                self.host.fail(send, kind)
+                self.assertEqual(len(self.host.sent), n_before)
+                error = self.host.replies[-1].error
+                self.assertIsInstance(error, AttemptsFailed)
+                self.assertEqual(error.status, 502)
+
+    def test_sent_again_after_it_was_not_run(self):
+        """Guards against giving up while another replica is free."""
+        for call_id, kind in enumerate(NOT_RUN):
+            with self.subTest(kind=kind):
+                (send,) = self.host.call(b"/fetch/1", call_id=call_id)
+                n_before = len(self.host.sent)
+                self.host.fail(send, kind)
+                self.assertEqual(len(self.host.sent), n_before + 1)
+
+    def test_never_hedged(self):
+        """Guards against a second run of a slow call."""
+        self.host.call(b"/fetch/1")
+        self.host.advance(3.0)
+        self.assertEqual(len(self.host.sent), 1)
+
+    def test_refusal_says_not_run_only_if_nothing_ran(self):
+        """Guards against status 503 for a call that a replica may have run."""
+        (send,) = self.host.call(b"/fetch/1")
+        self.host.fail(send, FailureKind.SHED)
+        self.host.fail(self.host.sent[-1], FailureKind.CRASH)
+        self.assertEqual(self.host.replies[-1].error.status, 502)
+
+    def test_all_refused(self):
+        """Guards against a refusal without the time to come back."""
+        self.host.call(b"/fetch/1")
+        for _ in range(3):
+            self.host.fail(self.host.sent[-1], FailureKind.SHED)
+        error = self.host.replies[-1].error
+        self.assertIsInstance(error, NoReplica)
+        self.assertIs(error.outcome, Outcome.NOT_RUN)
+        self.assertIsNotNone(error.retry_after_ms)
+
+    def test_expiry_while_open(self):
+        """Guards against a refusal that says not run while a replica may run it."""
+        self.host.call(b"/fetch/1", deadline_s=0.5)
+        self.host.advance(0.6)
+        error = self.host.replies[-1].error
+        self.assertEqual(error.status, 504)
+        self.assertIsNot(error.outcome, Outcome.NOT_RUN)
+
+    def test_own_failure_of_the_replica_is_passed_on(self):
+        """Guards against a replica's failure under another status."""
+        (send,) = self.host.call(b"/fetch/1")
+        self.host.answer(send, status=500)
+        (reply,) = self.host.replies
+        self.assertIsInstance(reply, PassAnswer)
+        self.assertEqual(reply.answer.status, 500)
+
+
+class TestIdempotent(unittest.TestCase):
+    """A call that may be repeated goes to another replica after a failure."""
+
+    def test_retry_after_a_crash(self):
+        """Guards against a failure that a second replica could have prevented."""
+        host = GatewayModel(single_route())
+        (send,) = host.call(b"/fetch/1")
+        host.fail(send, FailureKind.CRASH)
+        host.answer(host.sent[-1], b"body")
+        self.assertEqual(host.replies[0].answer.body, b"body")
+
+    def test_answer_is_passed_unchanged(self):
+        """Guards against changed bodies."""
+        host = GatewayModel(single_route())
+        (send,) = host.call(b"/fetch/1")
+        host.answer(send, b"bytes")
+        self.assertEqual(host.replies[0].answer.body, b"bytes")
+
+    def test_misdirected_replica_is_forgotten(self):
+        """Guards against sending again to an address that another process has."""
+        host = GatewayModel(single_route())
+        (send,) = host.call(b"/fetch/1")
+        host.fail(send, FailureKind.MISDIRECTED)
+        for call_id in range(2, 12):
+            for again in host.call(b"/fetch/1", call_id=call_id):
+                self.assertNotEqual(again.replica, send.replica)
+
+
+class TestRouting(unittest.TestCase):
+    """Routes by host name and longest prefix."""
+
+    def test_longest_prefix(self):
+        """Guards against a short prefix hiding a longer one."""
+        inner = single_route(name="inner", prefix=b"/fetch/deep/", n_attempts_max=1)
+        host = GatewayModel(single_route(), inner)
+        host.call(b"/fetch/deep/1?x=/fetch/")
+        (call,) = host.state.part(CallTable).calls_.values()
+        self.assertEqual(call.route.name, "inner")
+
+    def test_no_route(self):
+        """Guards against sending a call that no configuration allows."""
+        host = GatewayModel(single_route())
+        self.assertEqual(host.call(b"/fetching/1"), [])
+        self.assertIsInstance(host.replies[0].error, NoSuchRoute)
+
+    def test_no_configuration_yet(self):
+        """Guards against 404 from a host that knows no configuration."""
+        host = GatewayModel()
+        host.call(b"/fetch/1")
+        (reply,) = host.replies
+        self.assertIsInstance(reply, RefuseCall)
+        self.assertEqual(reply.error.status, 503)
+        self.assertIs(reply.error.outcome, Outcome.NOT_RUN)
+
+
+class TestCrashingRequests(unittest.TestCase):
+    """A request that crashes replicas is not sent to further ones."""
+
+    def crash(self, host, call_id):
+        """Let each attempt of a call end with a crashed replica."""
+        sends = host.call(b"/fetch/poison", call_id=call_id)
+        while sends:
+            send = sends.pop()
+            n_before = len(host.sent)
+            host.fail(send, FailureKind.CRASH)
+            sends += host.sent[n_before:]
+
+    def confirm(self, host):
+        """Let the crashed replicas refuse connections."""
+        for call_id in range(100, 110):
+            for send in host.call(b"/fetch/innocent", call_id=call_id):
+                host.fail(send, FailureKind.CONNECT)
+
+    def test_condemned_after_three_crashes(self):
+        """Guards against a request that takes down one replica after the other."""
+        host = GatewayModel(single_route())
+        for call_id in range(4):
+            self.crash(host, call_id)
+            self.confirm(host)
+            host.advance(0.5)
+        n_before = len(host.sent)
+        host.call(b"/fetch/poison", call_id=50)
+        self.assertEqual(len(host.sent), n_before)
+
+    def test_lost_answers_condemn_nothing(self):
+        """Guards against refusing a request because of resets on the way."""
+        host = GatewayModel(single_route())
+        for call_id in range(5):
+            self.crash(host, call_id)
+            host.advance(5.0)
+        self.assertEqual(len(host.call(b"/fetch/poison", call_id=50)), 1)
+
+
+class TestFanoutRoute(unittest.TestCase):
+    """Fan-out and single routes of one host name do not mix."""
+
+    def test_each_by_its_prefix(self):
+        """Guards against a fan-out for a single call."""
+        host = GatewayModel(single_route(), fanout_route())
+        self.assertEqual(len(host.call(b"/sweep/1", call_id=1)), 4)
+        self.assertEqual(len(host.call(b"/fetch/1", call_id=2)), 1)
