--- a/jackdawsill/forwarding/_dispatch.py
+++ b/jackdawsill/forwarding/_dispatch.py
@@ -50,8 +50,7 @@
     slow = next(iter(part.open.values()), None)
     if slow is None or part.is_settled:
         return []
-    elapsed_s = now - slow.sent_at - slow.distance_s
-    slow.replica.on_silence(elapsed_s / slow.usual_s, now)
+    slow.replica.on_silence(now)
     if not call.route.idempotent or not may_send_more(part):
         return []
     if state.part(ReplicaRegistry).pick(
--- a/jackdawsill/forwarding/_finish.py
+++ b/jackdawsill/forwarding/_finish.py
@@ -175,7 +175,7 @@
         for attempt_id, attempt in list(part.open.items()):
             attempt.replica.in_flight -= 1
             elapsed_s = now - attempt.sent_at - attempt.distance_s
-            attempt.replica.on_silence(elapsed_s / attempt.usual_s, now)
+            attempt.replica.on_abort(elapsed_s / attempt.usual_s, now)
             table.attempts_.pop(attempt_id, None)
             effects.append(AbortAttempt(attempt_id))
         part.open.clear()
--- a/jackdawsill/forwarding/_replica.py
+++ b/jackdawsill/forwarding/_replica.py
@@ -1,6 +1,7 @@
 """A live replica as this host observes it."""
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 
 from jackdawsill.forwarding._model import ReplicaEntry
@@ -9,6 +10,9 @@
 # slow is tried again after some seconds.
 MEMORY_S = 2.0
 SAMPLE_WEIGHT = 0.3
+# A replica counts as slow as the fastest of this many attempts in a row: pauses make
+# one or two of them slow, a loaded or failing replica makes all of them slow.
+N_SLOW_TO_BELIEVE = 3
 # Bounds of one observation of slowness, as a multiple of the usual time.
 SLOWNESS_MIN, SLOWNESS_MAX = 0.3, 30.0
 # A replica that has just started works slower than its peers.
@@ -36,6 +40,9 @@
     in_flight: int = 0
     slowness: float = 1.0  # time of an attempt over the usual one of its route
     slowness_at: float = 0.0
+    recent: deque[float] = field(
+        default_factory=lambda: deque([1.0], maxlen=N_SLOW_TO_BELIEVE)
+    )
     acceptance: float = 1.0  # part of the attempts that were run and answered
     acceptance_at: float = 0.0
     stalled_until: float = 0.0
@@ -83,12 +90,14 @@
         self.ejected_until = 0.0
         self.backoff_s = EJECT_MIN_S
 
-    def on_silence(self, slowness: float, now: float) -> None:
-        """Learn that an attempt takes at least `slowness` times the usual time."""
-        if slowness > self.slowness_now(now):
-            self._learn_slowness(slowness, now)
+    def on_silence(self, now: float) -> None:
+        """Avoid the replica for a moment: an attempt takes unusually long."""
         self.stalled_until = now + STALL_S
 
+    def on_abort(self, slowness: float, now: float) -> None:
+        """Learn that an attempt took at least `slowness` times the usual time."""
+        self._learn_slowness(slowness, now)
+
     def on_lost(self, fingerprint: int, now: float) -> None:
         """Remember a request whose connection was lost while it may have run."""
         if len(self.lost) < MAX_LOST_KEPT:
@@ -119,7 +128,8 @@
         return backoff_s
 
     def _learn_slowness(self, slowness: float, now: float) -> None:
-        bounded = min(max(slowness, SLOWNESS_MIN), SLOWNESS_MAX)
+        self.recent.append(min(max(slowness, SLOWNESS_MIN), SLOWNESS_MAX))
+        bounded = min(self.recent)
         current = self.slowness_now(now)
         self.slowness = current + SAMPLE_WEIGHT * (bounded - current)
         self.slowness_at = now
--- a/jackdawsill/forwarding/tests/test_registry.py
+++ b/jackdawsill/forwarding/tests/test_registry.py
@@ -59,6 +59,12 @@
         self.assertEqual(self.pick(1.5), "f")
         self.assertEqual(self.pick(20.0), "n")
 
+    def test_one_pause_changes_no_choice(self):
+        """Guards against seconds of bytes between regions after a short pause."""
+        for ratio in (1.0, 1.0, 12.0, 9.0):
+            self.table.replicas_["n"].on_answer(ratio, 1.0)
+        self.assertEqual(self.pick(1.1), "n")
+
     def test_refusing_replica_loses(self):
         """Guards against a full replica that is asked again and again."""
         for at in range(6):
