--- a/jackdawsill/forwarding/_admit.py
+++ b/jackdawsill/forwarding/_admit.py
@@ -44,8 +44,10 @@
         return refuse(state, call, now, refusal)
     state.part(CallTable).calls_[call.call_id] = call
     effects: list[Effect] = []
+    _leave_out_dead(state, call, now)
     for part in call.parts:
-        effects += send_first(state, part, now)
+        if not part.failed:
+            effects += send_first(state, part, now)
     ending = settle(state, call, now)
     if ending:
         return [*effects, *ending]
@@ -94,6 +96,23 @@
     )
 
 
+def _leave_out_dead(state: HostState, call: Call, now: float) -> None:
+    """Give up parts whose replicas are all avoided, if the others suffice.
+
+    Such a part would hold back the answer up to the objective for nothing. Replicas
+    whose backoff has ended are probed by the calls that follow.
+    """
+    if not call.route.is_fanout:
+        return
+    registry = state.part(ReplicaRegistry)
+    n_spare = len(call.parts) - n_parts_needed(call)
+    for part in call.parts:
+        if n_spare and not registry.n_usable(part.service, now):
+            part.failed = True
+            part.outcome = "all replicas avoided"
+            n_spare -= 1
+
+
 def _refuse_unrouted(
     event: CallArrived, error: JackdawsillError, version: int
 ) -> list[Effect]:
--- a/jackdawsill/forwarding/_dispatch.py
+++ b/jackdawsill/forwarding/_dispatch.py
@@ -12,6 +12,7 @@
     HEDGE_QUANTILE,
     N_REFUSED_MAX,
     USUAL_DEFAULT_FRACTION,
+    USUAL_MIN_S,
 )
 from jackdawsill.forwarding._registry import ReplicaRegistry
 
@@ -19,7 +20,7 @@
 def usual_s(state: HostState, route: ForwardRoute) -> float:
     """Return the usual time of a route's attempts without the distance."""
     default = USUAL_DEFAULT_FRACTION * route.objective_s
-    return state.part(CallTable).window(route).quantile(0.5, default)
+    return max(USUAL_MIN_S, state.part(CallTable).window(route).quantile(0.5, default))
 
 
 def hedge_delay_s(state: HostState, route: ForwardRoute) -> float:
--- a/jackdawsill/forwarding/_finish.py
+++ b/jackdawsill/forwarding/_finish.py
@@ -23,6 +23,7 @@
 )
 from jackdawsill.forwarding._model import MergedAnswer
 from jackdawsill.forwarding._policy import LINGER_S, RETRY_FULL_S
+from jackdawsill.forwarding._replica import LiveReplica
 
 RECORD_BYTES = 16
 CALL_SECONDS = "forwarding_call_seconds"
@@ -175,7 +176,9 @@
         for attempt_id, attempt in list(part.open.items()):
             attempt.replica.in_flight -= 1
             elapsed_s = now - attempt.sent_at - attempt.distance_s
-            attempt.replica.on_abort(elapsed_s / attempt.usual_s, now)
+            backoff_s = attempt.replica.on_abort(elapsed_s, attempt.usual_s, now)
+            if backoff_s:
+                effects.append(ejection_line(attempt.replica, "silent", backoff_s))
             table.attempts_.pop(attempt_id, None)
             effects.append(AbortAttempt(attempt_id))
         part.open.clear()
@@ -183,6 +186,18 @@
     return effects
 
 
+def ejection_line(replica: LiveReplica, kind: str, backoff_s: float) -> LogEvent:
+    """Return the log event of a replica that is avoided from now on."""
+    fields = {
+        "replica": replica.entry.name,
+        "service": replica.entry.service,
+        "kind": kind,
+        "backoff_s": backoff_s,
+        "n_failures": replica.n_failures,
+    }
+    return LogEvent(log_events.REPLICA_EJECTED, fields)
+
+
 def _call_line(call: Call, outcome: str, elapsed_s: float) -> LogEvent:
     fields = {
         "request": call.req.request_id.decode("latin-1"),
--- a/jackdawsill/forwarding/_outcomes.py
+++ b/jackdawsill/forwarding/_outcomes.py
@@ -24,7 +24,12 @@
     AttemptFailed,
     CallAbandoned,
 )
-from jackdawsill.forwarding._finish import abandon, close_lingering, settle
+from jackdawsill.forwarding._finish import (
+    abandon,
+    close_lingering,
+    ejection_line,
+    settle,
+)
 from jackdawsill.forwarding._registry import ReplicaRegistry
 from jackdawsill.forwarding._replica import LiveReplica
 
@@ -122,14 +127,7 @@
     backoff_s = replica.on_failure(now, at_once=kind is FailureKind.CONNECT)
     if not backoff_s:
         return effects
-    fields = {
-        "replica": replica.entry.name,
-        "service": replica.entry.service,
-        "kind": str(kind),
-        "backoff_s": backoff_s,
-        "n_failures": replica.n_failures,
-    }
-    return [*effects, LogEvent(log_events.REPLICA_EJECTED, fields)]
+    return [*effects, ejection_line(replica, str(kind), backoff_s)]
 
 
 def _condemn(state: HostState, replica: LiveReplica, now: float) -> list[Effect]:
--- a/jackdawsill/forwarding/_policy.py
+++ b/jackdawsill/forwarding/_policy.py
@@ -23,6 +23,8 @@
 HEDGE_DEFAULT_FRACTION = 0.3
 # Usual time of an attempt until it is known, as a part of the route's objective.
 USUAL_DEFAULT_FRACTION = 0.15
+# The clock's resolution; shorter times cannot be compared.
+USUAL_MIN_S = 0.001
 # Attempts of a finished call may end by themselves for this time, which keeps their
 # connections open; it is well below the time after which a replica that works for a
 # caller that has left counts as waste.
--- a/jackdawsill/forwarding/_replica.py
+++ b/jackdawsill/forwarding/_replica.py
@@ -9,6 +9,8 @@
 # An observation loses its weight with this time constant, so that a replica that was
 # slow is tried again after some seconds.
 MEMORY_S = 2.0
+# Refusals are remembered longer, since each one that is met again costs a retry.
+ACCEPTANCE_MEMORY_S = 4.0
 SAMPLE_WEIGHT = 0.3
 # A replica counts as slow as the fastest of this many attempts in a row: pauses make
 # one or two of them slow, a loaded or failing replica makes all of them slow.
@@ -20,6 +22,10 @@
 # A replica that did not answer for longer than nearly all attempts is likely to be
 # in a garbage collection or compaction pause; it is avoided for this time.
 STALL_S = 0.2
+# An attempt that is aborted after this time and this multiple of the usual one, far
+# over any pause, counts as a failure of its replica.
+SILENT_MIN_S = 0.25
+SILENT_SLOWNESS = 8.0
 # Backoff of a replica whose attempts fail, doubled by each failed probe.
 EJECT_MIN_S, EJECT_MAX_S = 0.25, 4.0
 # Failures in a row that eject; single ones are routine.
@@ -69,7 +75,7 @@
 
     def acceptance_now(self, now: float) -> float:
         """Return the expected part of attempts that are answered."""
-        fade = math.exp(-max(0.0, now - self.acceptance_at) / MEMORY_S)
+        fade = math.exp(-max(0.0, now - self.acceptance_at) / ACCEPTANCE_MEMORY_S)
         return max(ACCEPTANCE_MIN, 1.0 + (self.acceptance - 1.0) * fade)
 
     def expected_s(self, usual_s: float, distance_s: float, now: float) -> float:
@@ -78,7 +84,8 @@
         wait_s = usual_s * self.slowness_now(now) * queue
         if now < self.stalled_until:
             wait_s += STALL_S
-        return (distance_s + wait_s) / self.acceptance_now(now)
+        # Squared, because a refused attempt costs its time and a scarce retry.
+        return (distance_s + wait_s) / self.acceptance_now(now) ** 2
 
     def on_answer(self, slowness: float, now: float) -> None:
         """Learn from an answer, which ends any suspicion."""
@@ -94,9 +101,12 @@
         """Avoid the replica for a moment: an attempt takes unusually long."""
         self.stalled_until = now + STALL_S
 
-    def on_abort(self, slowness: float, now: float) -> None:
-        """Learn that an attempt took at least `slowness` times the usual time."""
-        self._learn_slowness(slowness, now)
+    def on_abort(self, elapsed_s: float, usual_s: float, now: float) -> float:
+        """Learn from an attempt without an answer; return the backoff if it ejects."""
+        self._learn_slowness(elapsed_s / usual_s, now)
+        if elapsed_s < SILENT_MIN_S or elapsed_s < SILENT_SLOWNESS * usual_s:
+            return 0.0
+        return self.on_failure(now)
 
     def on_lost(self, fingerprint: int, now: float) -> None:
         """Remember a request whose connection was lost while it may have run."""
--- a/jackdawsill/forwarding/tests/test_fanout.py
+++ b/jackdawsill/forwarding/tests/test_fanout.py
@@ -102,6 +102,24 @@
         self.assertIs(reply.error.outcome, Outcome.NOT_RUN)
         self.assertIsNotNone(reply.error.retry_after_ms)
 
+    def test_silent_shard_does_not_hold_back_answers(self):
+        """Guards against each answer waiting for a shard that is known to be dead."""
+        for call_id in range(8):
+            for send in self.host.call(b"/sweep/2f", call_id=call_id):
+                if not send.replica.startswith("s0"):
+                    self.host.answer(send)
+            self.host.advance(0.4)
+        n_replicas, n_calls = 3, 8
+        n_before = len(self.host.replies)
+        for call_id in range(50, 50 + n_calls):
+            for send in self.host.call(b"/sweep/2f", call_id=call_id):
+                if not send.replica.startswith("s0"):
+                    self.host.answer(send)
+        # Each replica may be probed by one call; the others do not wait.
+        replies = self.host.replies[n_before:]
+        self.assertGreaterEqual(len(replies), n_calls - n_replicas)
+        self.assertEqual({reply.answer.n_missing for reply in replies}, {1})
+
     def test_parts_of_one_configuration(self):
         """Guards against parts of two shard sets in one answer."""
         sends = self.host.call(b"/sweep/2f")
