Relay the store's news between hosts

A host that the store refused went on with old news.

Change: jackdawsill.relaying: the hosts that the seeds name follow the store, all others subscribe to one of them over the product's msgpack streams; news carries its age, and a host without news of the last 2 s follows the store itself. LinkSet moved to jackdawsill.runtime, where both processes use it.

--- a/benchmarks/data_slopes.py
+++ b/benchmarks/data_slopes.py
@@ -28,7 +28,6 @@
 from jackdawsill.daemon import Driver
 from jackdawsill.daemon._caller_server import CallerServer
 from jackdawsill.daemon._http_server import listening_socket
-from jackdawsill.daemon._links import LinkSet
 from jackdawsill.limits import (
     ConnectionShares,
     SubBatch,
@@ -38,6 +37,7 @@
 )
 from jackdawsill.objects import Group, ObjectSet, Replica, Service
 from jackdawsill.peers import Decoder, encode
+from jackdawsill.runtime import LinkSet
 from jackdawsill.settings import LimitSettings
 from jackdawsill.standins import LOOPBACK
 
--- a/jackdawsill/daemon/_build.py
+++ b/jackdawsill/daemon/_build.py
@@ -4,9 +4,9 @@
 
 from jackdawsill.assembly import assemble_host, new_incarnation
 from jackdawsill.core import HostState
-from jackdawsill.daemon._addresses import join_address
 from jackdawsill.membership import Member
 from jackdawsill.objects import load_bundle
+from jackdawsill.runtime import join_address
 from jackdawsill.settings import Settings
 
 
--- a/jackdawsill/daemon/_http_server.py
+++ b/jackdawsill/daemon/_http_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import socket
 from collections.abc import Callable
 
 from sanic import Request, Sanic
@@ -18,7 +17,7 @@
 )
 from jackdawsill.daemon._replies import Reply, refusal
 from jackdawsill.exceptions import JackdawsillError, Outcome
-from jackdawsill.runtime import InternalFault
+from jackdawsill.runtime import InternalFault, listening_socket
 
 JSON_TYPE = "application/json"
 BACKLOG = 1024
@@ -33,20 +32,6 @@
 _serials = itertools.count(1)
 
 
-def listening_socket(address: str, port: int) -> socket.socket:
-    """Return a bound socket; with port 0 the kernel chooses the port."""
-    family = socket.AF_INET6 if ":" in address else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((address, port))
-    except OSError:
-        sock.close()
-        raise
-    sock.setblocking(False)
-    return sock
-
-
 def to_response(reply: Reply) -> HTTPResponse:
     """Return the HTTP response of a reply."""
     return HTTPResponse(reply.body, reply.status, reply.headers(), JSON_TYPE)
--- a/jackdawsill/daemon/_log_events.py
+++ b/jackdawsill/daemon/_log_events.py
@@ -28,13 +28,6 @@
     "A backend server's answer did not check.",
     logbook.WARNING,
 )
-BAD_PEER_MESSAGE = register_log_event(
-    5006,
-    "bad-peer-message",
-    "link {link_id} to {address} closed: {detail}",
-    "A peer sent a message that did not check, or did not read its messages.",
-    logbook.WARNING,
-)
 HOST_LIST_FAILED = register_log_event(
     5007,
     "host-list-failed",
--- a/jackdawsill/daemon/_process.py
+++ b/jackdawsill/daemon/_process.py
@@ -23,18 +23,15 @@
     StopRequested,
     SubFailed,
 )
-from jackdawsill.daemon._addresses import join_address
 from jackdawsill.daemon._backend_client import BackendClient, Outcome
 from jackdawsill.daemon._build import build_state
 from jackdawsill.daemon._caller_server import CallerServer
 from jackdawsill.daemon._errors import HostStopped
-from jackdawsill.daemon._http_server import listening_socket
-from jackdawsill.daemon._links import LinkSet
 from jackdawsill.daemon._log_events import BAD_ANSWER, STARTED, STOPPED
 from jackdawsill.daemon._metrics import close_metrics, make_metrics
 from jackdawsill.daemon._operator_server import OperatorServer
 from jackdawsill.daemon._platform import PlatformReader
-from jackdawsill.runtime import Driver
+from jackdawsill.runtime import Driver, LinkSet, join_address, listening_socket
 from jackdawsill.settings import Settings
 
 
--- a/jackdawsill/forwarding/_beliefs.py
+++ b/jackdawsill/forwarding/_beliefs.py
@@ -1,6 +1,14 @@
 """What the host believes of routes, replicas and the platform's store."""
 
-from jackdawsill.core import Effect, HostState, LogEvent, PauseDetected, Tick, handles
+from jackdawsill.core import (
+    Effect,
+    HostState,
+    LogEvent,
+    PauseDetected,
+    Raise,
+    Tick,
+    handles,
+)
 from jackdawsill.forwarding import _log_events as log_events
 from jackdawsill.forwarding._catalog import RouteCatalog
 from jackdawsill.forwarding._effects import (
@@ -11,8 +19,10 @@
 from jackdawsill.forwarding._events import (
     PEER,
     ReplicasChanged,
+    ReplicasExpired,
     ReplicasListed,
     RoutesRead,
+    StoreConfirmed,
     StoreLost,
     StoreRegained,
 )
@@ -57,7 +67,13 @@
 def on_changed(state: HostState, event: ReplicasChanged, now: float) -> list[Effect]:
     """Apply changed entries of replicas."""
     registry = state.part(ReplicaRegistry)
-    dropped = registry.change(event.written, event.removed, event.revision, now)
+    dropped = registry.change(
+        event.written,
+        event.removed,
+        event.revision,
+        now,
+        may_lapse=event.may_lapse,
+    )
     fields = {
         "revision": event.revision,
         "written": [_entry_text(entry) for entry in event.written[:20]],
@@ -104,7 +120,20 @@
     if not gone:
         return []
     fields = {"replicas": gone[:20], "n": len(gone)}
-    return [LogEvent(log_events.REPLICAS_EXPIRED, fields), *_drop(gone)]
+    return [
+        LogEvent(log_events.REPLICAS_EXPIRED, fields),
+        *_drop(gone),
+        Raise(ReplicasExpired(tuple(gone))),
+    ]
+
+
+@handles(StoreConfirmed, needs=ReplicaRegistry)
+def on_confirmed(state: HostState, event: StoreConfirmed, now: float) -> list[Effect]:
+    """Note the revision up to which nothing else has changed."""
+    registry = state.part(ReplicaRegistry)
+    if registry.revision_ is not None:
+        registry.revision_ = max(registry.revision_, event.revision)
+    return []
 
 
 @handles(PauseDetected, needs=ReplicaRegistry)
--- a/jackdawsill/forwarding/_events.py
+++ b/jackdawsill/forwarding/_events.py
@@ -66,12 +66,32 @@
 
 @dataclass(slots=True, frozen=True)
 class ReplicasChanged(Event):
-    """Entries of replicas were written or removed up to `revision`."""
+    """Entries of replicas were written or removed after `base` up to `revision`.
+
+    `may_lapse` is what a peer said of the removals; the host itself judges those
+    that it reads from the store.
+    """
 
     written: tuple[ReplicaEntry, ...]
     removed: tuple[str, ...]
     revision: int
     source: str
+    base: int = 0
+    may_lapse: bool | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class ReplicasExpired(Event):
+    """Replicas whose entries had lapsed did not come back."""
+
+    names: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class StoreConfirmed(Event):
+    """The store has told all changes up to `revision`."""
+
+    revision: int
 
 
 @dataclass(slots=True, frozen=True)
--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -22,6 +22,7 @@
         "changed_at_",
         "distances_",
         "failure_domain",
+        "may_lapse_",
         "regions",
         "replicas_",
         "revision_",
@@ -38,6 +39,7 @@
         self.distances_: dict[str, float] = {}
         self.revision_: int | None = None
         self.changed_at_ = 0.0
+        self.may_lapse_ = False  # of the last change
         self.store_lost_at_: float | None = None
         self.store_regained_at_: float | None = None
 
@@ -57,7 +59,8 @@
         entries = tuple(entries)
         names = {entry.name for entry in entries}
         gone = [name for name in self.replicas_ if name not in names]
-        return self.change(entries, gone, revision, now, may_lapse=not is_relayed)
+        may_lapse = False if is_relayed else None
+        return self.change(entries, gone, revision, now, may_lapse=may_lapse)
 
     def change(
         self,
@@ -66,10 +69,16 @@
         revision: int,
         now: float,
         *,
-        may_lapse: bool = True,
+        may_lapse: bool | None = None,
     ) -> list[str]:
-        """Apply changed entries; return the names of replicas that are gone."""
-        may_lapse = may_lapse and self._may_have_lapsed(now)
+        """Apply changed entries; return the names of replicas that are gone.
+
+        `may_lapse` tells whether removals may come from the store's absence alone;
+        None leaves it to what this host knows of the store.
+        """
+        if may_lapse is None:
+            may_lapse = self._may_have_lapsed(now)
+        self.may_lapse_ = may_lapse
         dropped = []
         for entry in written:
             known = self.replicas_.get(entry.name)
--- a/jackdawsill/gateway/__init__.py
+++ b/jackdawsill/gateway/__init__.py
@@ -4,7 +4,6 @@
 from jackdawsill.gateway._follower import StoreFollower
 from jackdawsill.gateway._log_events import BAD_ENTRY
 from jackdawsill.gateway._main import run
-from jackdawsill.gateway._peers import PeerNews
 from jackdawsill.gateway._process import GatewayProcess
 from jackdawsill.gateway._settings import GatewaySettings, load_gateway_settings
 from jackdawsill.gateway._store import (
@@ -21,7 +20,6 @@
     "GatewayProcess",
     "GatewaySettings",
     "HistoryLost",
-    "PeerNews",
     "StoreChanges",
     "StoreFollower",
     "StoreSnapshot",
--- a/jackdawsill/gateway/_build.py
+++ b/jackdawsill/gateway/_build.py
@@ -13,6 +13,7 @@
     RouteCatalog,
 )
 from jackdawsill.gateway._settings import GatewaySettings
+from jackdawsill.relaying import NewsFeed
 
 
 def build_gateway_state(cfg: GatewaySettings, rng: random.Random) -> HostState:
@@ -33,4 +34,11 @@
     state.attach(CrashEvidence())
     state.attach(CallTable())
     state.attach(GatewayLife())
+    state.attach(
+        NewsFeed(
+            cfg.ports.peers,
+            cfg.store.seed_addresses(),
+            is_first_start=cfg.store.first_start,
+        )
+    )
     return state
--- a/jackdawsill/gateway/_log_events.py
+++ b/jackdawsill/gateway/_log_events.py
@@ -35,12 +35,6 @@
     "A caller's request was malformed, too large or too slow.",
     logbook.NOTICE,
 )
-PEER_SILENT = register_log_event(
-    5305,
-    "peer_silent",
-    "peer {peer} gave no news: {detail}",
-    "A peer that was asked for routes and replicas did not answer; others are asked.",
-)
 BAD_ENTRY = register_log_event(
     5306,
     "bad_entry",
--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -5,11 +5,14 @@
 import time
 
 from jackdawsill.core import (
+    CloseLink,
     Count,
     Event,
     Exit,
     HostState,
     Observe,
+    OpenLink,
+    SendPeer,
     SetReadiness,
     StopRequested,
 )
@@ -33,9 +36,8 @@
 from jackdawsill.gateway._build import build_gateway_state
 from jackdawsill.gateway._follower import StoreFollower
 from jackdawsill.gateway._operator import OperatorPort
-from jackdawsill.gateway._peers import PeerNews
 from jackdawsill.gateway._settings import GatewaySettings
-from jackdawsill.gateway._store import BaseStore, StoreSnapshot
+from jackdawsill.gateway._store import BaseStore
 from jackdawsill.http1 import (
     BaseDialect,
     CallServer,
@@ -43,7 +45,14 @@
     ReplicaClient,
     end_to_end,
 )
-from jackdawsill.runtime import Driver, InternalFault
+from jackdawsill.relaying import FollowStore, NewsFeed
+from jackdawsill.runtime import (
+    Driver,
+    InternalFault,
+    LinkSet,
+    listening_socket,
+    split_address,
+)
 
 
 def boot_clock() -> float:
@@ -51,18 +60,6 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of an address in the settings."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
-def _other_seeds(cfg: GatewaySettings) -> tuple[str, ...]:
-    """Return the seeds without the host itself."""
-    own = cfg.ports.peers
-    return tuple(seed for seed in cfg.store.seed_addresses() if seed != own)
-
-
 class GatewayProcess:
     """Run one gateway in the current loop.
 
@@ -97,25 +94,26 @@
             dialect, self.driver.feed, self._on_connected, boot_clock
         )
         self.operators = OperatorPort(self.state, self._status, boot_clock)
-        self.peers = PeerNews(_other_seeds(cfg), self._news, self.rng, self.driver.log)
+        self.links = LinkSet(self.driver)
+        registry = self.state.part(ReplicaRegistry)
         self.follower = StoreFollower(
-            store, self.driver.feed, self.peers.ask, self.rng, boot_clock
+            store, self.driver.feed, lambda: registry.revision_, self.rng, boot_clock
         )
         self._register_actions()
 
     async def start(self) -> None:
         """Start the driver, open all ports and begin to follow the store."""
-        self.driver.start()
-        self.replicas.start()
         ports = self.cfg.ports
         await self.operators.start(
             split_address(ports.health),
             (split_address(ports.callers)[0], self.cfg.metrics.port),
         )
         if ports.peers:
-            await self.peers.start(*split_address(ports.peers))
+            await self.links.start(listening_socket(*split_address(ports.peers)))
         await self.callers.start(*split_address(ports.callers))
-        self.follower.start()
+        self.replicas.start()
+        # After the peers' port, so that hosts that start together find each other.
+        self.driver.start()
         self.driver.log(
             log_events.GATEWAY_STARTED,
             callers=ports.callers,
@@ -132,7 +130,7 @@
     def apply(self, cfg: GatewaySettings) -> None:
         """Apply changed settings: the seeds; all others hold for a process's life."""
         self.cfg = cfg
-        self.peers.seeds = _other_seeds(cfg)
+        self.state.part(NewsFeed).seeds = cfg.store.seed_addresses()
 
     def stop(self) -> None:
         """Close everything."""
@@ -140,7 +138,7 @@
             return
         self.driver.stop()
         self.follower.stop()
-        self.peers.stop()
+        self.links.abort()
         self.callers.stop()
         self.replicas.stop()
         self.operators.stop()
@@ -155,6 +153,10 @@
                 DropReplica: self.replicas.drop,
                 DropIdleConnections: self.replicas.drop_all_idle,
                 CheckStore: self.follower.check_now,
+                FollowStore: self.follower.follow,
+                OpenLink: self.links.open,
+                CloseLink: self.links.close,
+                SendPeer: self.links.send,
                 PassAnswer: self._pass_answer,
                 SendMerged: self._send_merged,
                 RefuseCall: self._refuse,
@@ -214,18 +216,6 @@
     def _close_callers(self, effect: CloseCallers) -> None:
         self.callers.close_callers(idle_now=effect.idle_now)
 
-    def _news(self, version: int, revision: int) -> StoreSnapshot | None:
-        """Return routes and replicas for a peer if they are current and newer."""
-        registry = self.state.part(ReplicaRegistry)
-        catalog = self.state.part(RouteCatalog)
-        own_revision = registry.revision_
-        if registry.store_lost_at_ is not None or own_revision is None:
-            return None
-        if own_revision <= revision and catalog.version <= version:
-            return None
-        entries = tuple(r.entry for r in registry.replicas_.values())
-        return StoreSnapshot(catalog.routes_, entries, own_revision)
-
     def _status(self) -> dict[str, object]:
         """Return the process's own part of the status."""
         return {
--- a/jackdawsill/gateway/_settings.py
+++ b/jackdawsill/gateway/_settings.py
@@ -46,10 +46,14 @@
 
 @dataclass(slots=True, frozen=True)
 class GatewayStore:
-    """The platform's store; `seeds` are peers that may know what it says."""
+    """The platform's store, and the peers that follow it for the others.
+
+    `first_start` is true while the whole fleet starts for the first time.
+    """
 
     address: Address
     seeds: str = ""
+    first_start: bool = False
 
     def seed_addresses(self) -> tuple[str, ...]:
         """Return the seeds one by one."""
--- /dev/null
+++ b/jackdawsill/relaying/__init__.py
@@ -0,0 +1,21 @@
+"""Relaying of the store's news: few hosts follow the store, the others follow them."""
+
+from jackdawsill.relaying import _handlers  # noqa: F401
+from jackdawsill.relaying._effects import FollowStore
+from jackdawsill.relaying._feed import NewsFeed, Upstream
+from jackdawsill.relaying._messages import (
+    NewsBeat,
+    NewsChange,
+    NewsSnapshot,
+    NewsWanted,
+)
+
+__all__ = [
+    "FollowStore",
+    "NewsBeat",
+    "NewsChange",
+    "NewsFeed",
+    "NewsSnapshot",
+    "NewsWanted",
+    "Upstream",
+]
--- /dev/null
+++ b/jackdawsill/relaying/_feed.py
@@ -0,0 +1,110 @@
+"""Whom a host learns from: the store itself, or a host that follows it."""
+
+from enum import StrEnum
+
+# A host sends a sign of life to its subscribers this often.
+BEAT_S = 0.4
+# News older than this is not relied on. The hosts that follow the store confirm it
+# each second, so only a lost host or a lost store makes news older.
+STALE_S = 1.6
+# Without current news for this time a host follows the store itself. With the time
+# of the read it stays below the 3 s in which changes must be in force.
+DIRECT_AFTER_S = 2.0
+# On the first start of a fleet all hosts start together, and it is worth waiting for
+# the relays; otherwise a host that knows nothing asks the store soon.
+FIRST_START_PATIENCE_S = 3.0
+START_PATIENCE_S = 0.5
+# A host that follows the store itself goes back to relayed news after this time.
+DIRECT_MIN_S = 3.0
+# Time that one relay is given to open a link and send its first message.
+OPEN_LIMIT_S = 0.6
+
+
+class Upstream(StrEnum):
+    """Name the states of the link to a relay."""
+
+    NONE = "none"
+    OPENING = "opening"
+    ASKED = "asked"  # open, and nothing read yet
+    SYNCED = "synced"
+
+
+class NewsFeed:
+    """Own the choice of the source, and the subscribers of this host."""
+
+    __slots__ = (
+        "address",
+        "confirmed_at_",
+        "direct_since_",
+        "is_direct_",
+        "is_first_start",
+        "link_id_",
+        "next_seed_",
+        "opened_at_",
+        "seeds",
+        "sent_beat_at_",
+        "started_at_",
+        "subscribers_",
+        "upstream_",
+    )
+
+    def __init__(
+        self, address: str, seeds: tuple[str, ...], *, is_first_start: bool
+    ) -> None:
+        self.address = address
+        self.seeds = seeds
+        self.is_first_start = is_first_start
+        self.started_at_: float | None = None
+        # Time up to which routes and replicas are known to be current.
+        self.confirmed_at_: float | None = None
+        self.is_direct_ = False
+        self.direct_since_ = 0.0
+        self.upstream_ = Upstream.NONE
+        self.link_id_ = 0
+        self.opened_at_ = 0.0
+        self.next_seed_ = 0
+        self.sent_beat_at_ = 0.0
+        self.subscribers_: set[int] = set()
+
+    @property
+    def is_relay(self) -> bool:
+        """Tell whether other hosts are told to learn from this one."""
+        return self.address in self.seeds
+
+    def age_s(self, now: float) -> float:
+        """Return the age of what the host knows."""
+        if self.confirmed_at_ is not None:
+            return now - self.confirmed_at_
+        return float("inf")
+
+    def confirm(self, at: float) -> None:
+        """Note that routes and replicas were current at a time."""
+        if self.confirmed_at_ is None or at > self.confirmed_at_:
+            self.confirmed_at_ = at
+
+    def must_follow_store(self, now: float) -> bool:
+        """Tell whether the host should follow the store itself."""
+        others = [seed for seed in self.seeds if seed != self.address]
+        if self.is_relay or not others:
+            return True
+        if self.confirmed_at_ is None:
+            patience_s = START_PATIENCE_S
+            if self.is_first_start:
+                patience_s = FIRST_START_PATIENCE_S
+            return now - (self.started_at_ or now) > patience_s
+        if self.age_s(now) > DIRECT_AFTER_S:
+            return True
+        is_new = now - self.direct_since_ < DIRECT_MIN_S
+        return self.is_direct_ and (is_new or self.upstream_ is not Upstream.SYNCED)
+
+    def wants_upstream(self, now: float) -> bool:
+        """Tell whether the host should learn from a relay."""
+        return not self.is_relay or self.age_s(now) > STALE_S
+
+    def next_seed(self) -> str | None:
+        """Return the next relay to try."""
+        others = [seed for seed in self.seeds if seed != self.address]
+        if not others:
+            return None
+        self.next_seed_ += 1
+        return others[self.next_seed_ % len(others)]
--- /dev/null
+++ b/jackdawsill/relaying/_messages.py
@@ -0,0 +1,52 @@
+"""Messages that relay what the platform's store says."""
+
+from dataclasses import dataclass
+
+from jackdawsill.forwarding import ReplicaEntry, RouteSet
+from jackdawsill.peers import PeerMessage, register_message
+
+
+@register_message("NewsWanted")
+@dataclass(slots=True, frozen=True)
+class NewsWanted(PeerMessage):
+    """Subscribe to the news of a host; the sender knows up to `revision`."""
+
+    version: int
+    revision: int
+
+
+@register_message("NewsSnapshot")
+@dataclass(slots=True, frozen=True)
+class NewsSnapshot(PeerMessage):
+    """All that the sender knows; it was current `age_s` seconds ago."""
+
+    routes: RouteSet | None
+    entries: tuple[ReplicaEntry, ...]
+    revision: int
+    age_s: float
+
+
+@register_message("NewsChange")
+@dataclass(slots=True, frozen=True)
+class NewsChange(PeerMessage):
+    """What has changed after `base` up to `revision`.
+
+    With `may_lapse`, a removal may come from the store's absence alone.
+    """
+
+    routes: RouteSet | None
+    written: tuple[ReplicaEntry, ...]
+    removed: tuple[str, ...]
+    base: int
+    revision: int
+    age_s: float
+    may_lapse: bool
+
+
+@register_message("NewsBeat")
+@dataclass(slots=True, frozen=True)
+class NewsBeat(PeerMessage):
+    """Nothing has changed up to `revision`, as of `age_s` seconds ago."""
+
+    revision: int
+    age_s: float
--- a/jackdawsill/runtime/__init__.py
+++ b/jackdawsill/runtime/__init__.py
@@ -1,7 +1,21 @@
-"""The loop that feeds events to the reducer and carries out its effects."""
+"""The loop that drives the reducer, and the streams between hosts."""
 
+from jackdawsill.runtime._addresses import (
+    join_address,
+    listening_socket,
+    split_address,
+)
 from jackdawsill.runtime._driver import Driver
 from jackdawsill.runtime._errors import InternalFault
 from jackdawsill.runtime._gc import tune_gc
+from jackdawsill.runtime._links import LinkSet
 
-__all__ = ["Driver", "InternalFault", "tune_gc"]
+__all__ = [
+    "Driver",
+    "InternalFault",
+    "LinkSet",
+    "join_address",
+    "listening_socket",
+    "split_address",
+    "tune_gc",
+]
--- /dev/null
+++ b/jackdawsill/runtime/_addresses.py
@@ -0,0 +1,28 @@
+"""Addresses with a port, and sockets that listen on them."""
+
+import socket
+
+
+def join_address(address: str, port: int) -> str:
+    """Return address:port, with an IPv6 address in brackets."""
+    return f"[{address}]:{port}" if ":" in address else f"{address}:{port}"
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Return address and port; raise `ValueError` for other text."""
+    address, _, port = text.rpartition(":")
+    return address.removeprefix("[").removesuffix("]"), int(port)
+
+
+def listening_socket(address: str, port: int) -> socket.socket:
+    """Return a bound socket; with port 0 the kernel chooses the port."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((address, port))
+    except OSError:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
--- a/jackdawsill/daemon/_links.py
+++ b/jackdawsill/runtime/_links.py
@@ -12,11 +12,11 @@
     PeerMessageRead,
     SendPeer,
 )
-from jackdawsill.daemon._addresses import join_address, split_address
-from jackdawsill.daemon._log_events import BAD_PEER_MESSAGE
 from jackdawsill.exceptions import JackdawsillError
 from jackdawsill.peers import Decoder, PeerMessage, encode
-from jackdawsill.runtime import Driver
+from jackdawsill.runtime._addresses import join_address, split_address
+from jackdawsill.runtime._driver import Driver
+from jackdawsill.runtime._log_events import BAD_PEER_MESSAGE
 
 CONNECT_TIMEOUT_S = 2.0
 # A peer that reads this slowly is as good as lost; closing the link bounds memory.
@@ -130,6 +130,15 @@
                 for link in list(self._links.values()):
                     link.transport.abort()
 
+    def abort(self) -> None:
+        """Stop listening and close all streams at once."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._opening.values():
+            task.cancel()
+        for link in list(self._links.values()):
+            link.transport.abort()
+
     def open(self, effect: OpenLink) -> None:
         """Begin to open a stream."""
         task = asyncio.get_running_loop().create_task(self._open(effect))
--- a/jackdawsill/runtime/_log_events.py
+++ b/jackdawsill/runtime/_log_events.py
@@ -25,3 +25,10 @@
     "The daemon was given an effect of a class it does not know.",
     logbook.ERROR,
 )
+BAD_PEER_MESSAGE = register_log_event(
+    5006,
+    "bad-peer-message",
+    "link {link_id} to {address} closed: {detail}",
+    "A peer sent a message that did not check, or did not read its messages.",
+    logbook.WARNING,
+)
--- a/jackdawsill/daemon/tests/test_links.py
+++ b/jackdawsill/runtime/tests/test_links.py
@@ -20,10 +20,9 @@
     SendPeer,
 )
 from jackdawsill.daemon._http_server import listening_socket
-from jackdawsill.daemon._links import LinkSet
 from jackdawsill.daemon.tests._fixtures import WAIT_S
 from jackdawsill.peers import MAX_MESSAGE_BYTES, MESSAGES, PeerMessage, encode
-from jackdawsill.runtime import Driver
+from jackdawsill.runtime import Driver, LinkSet
 from jackdawsill.standins import LOOPBACK
 
 
--- a/tools/catalogue.py
+++ b/tools/catalogue.py
@@ -26,6 +26,7 @@
     2200: "limits",
     2300: "snapshots",
     2500: "forwarding",
+    2600: "relaying",
     3000: "tickets",
     4000: "membership",
     4100: "spread",
