Count the fleet, and open connections to near replicas ahead

Change: relays count their subscribers and tell the fleet's size, which divides the fixed part of the retry budget and the connections of a replica; the relay whose link opens first is used; connections to the nearest replica of each shard are kept open; hosts that reach the store offer its news to relays that do not. Tests of the relaying over an in-memory fleet: silent relays, relays without the store, most hosts without it.

--- a/jackdawsill/forwarding/__init__.py
+++ b/jackdawsill/forwarding/__init__.py
@@ -4,6 +4,7 @@
     _admit,
     _beliefs,
     _outcomes,
+    _warming,
 )
 from jackdawsill.forwarding._budget import RetryBudget
 from jackdawsill.forwarding._calls import CallTable
@@ -19,6 +20,7 @@
     RefuseCall,
     SendAttempt,
     SendMerged,
+    WarmReplicas,
 )
 from jackdawsill.forwarding._events import (
     PEER,
@@ -36,6 +38,7 @@
     StoreRegained,
 )
 from jackdawsill.forwarding._finish import CALL_SECONDS, greatest_records
+from jackdawsill.forwarding._fleet import FleetSize
 from jackdawsill.forwarding._life import GatewayLife, GatewayPhase
 from jackdawsill.forwarding._model import (
     CallerLimits,
@@ -51,6 +54,7 @@
 from jackdawsill.forwarding._policy import ForwardingPolicy
 from jackdawsill.forwarding._registry import ReplicaRegistry
 from jackdawsill.forwarding._replica import LiveReplica
+from jackdawsill.forwarding._warming import WarmUp
 
 __all__ = [
     "CALL_SECONDS",
@@ -68,6 +72,7 @@
     "CrashEvidence",
     "DropIdleConnections",
     "DropReplica",
+    "FleetSize",
     "ForwardRequest",
     "ForwardRoute",
     "ForwardingPolicy",
@@ -93,6 +98,8 @@
     "StoreConfirmed",
     "StoreLost",
     "StoreRegained",
+    "WarmReplicas",
+    "WarmUp",
     "WeightedService",
     "greatest_records",
 ]
--- a/jackdawsill/forwarding/_dispatch.py
+++ b/jackdawsill/forwarding/_dispatch.py
@@ -3,18 +3,19 @@
 from jackdawsill.core import Count, Effect, HostState, SetTimer
 from jackdawsill.forwarding._budget import RetryBudget
 from jackdawsill.forwarding._calls import Attempt, Call, CallTable, Part
-from jackdawsill.forwarding._catalog import RouteCatalog
 from jackdawsill.forwarding._effects import SendAttempt
 from jackdawsill.forwarding._model import ForwardRoute
 from jackdawsill.forwarding._policy import (
     HEDGE_DEFAULT_FRACTION,
     HEDGE_MIN_S,
     HEDGE_QUANTILE,
+    HEDGE_STRETCH,
     N_REFUSED_MAX,
     USUAL_DEFAULT_FRACTION,
     USUAL_MIN_S,
 )
 from jackdawsill.forwarding._registry import ReplicaRegistry
+from jackdawsill.forwarding._warming import n_connections
 
 
 def usual_s(state: HostState, route: ForwardRoute) -> float:
@@ -27,7 +28,8 @@
     """Return the time without the distance that few attempts take longer than."""
     default = HEDGE_DEFAULT_FRACTION * route.objective_s
     window = state.part(CallTable).window(route)
-    return max(HEDGE_MIN_S, window.quantile(HEDGE_QUANTILE, default))
+    quantile_s = window.quantile(HEDGE_QUANTILE, default / HEDGE_STRETCH)
+    return max(HEDGE_MIN_S, HEDGE_STRETCH * quantile_s)
 
 
 def send_first(state: HostState, part: Part, now: float) -> list[Effect]:
@@ -120,6 +122,6 @@
             entry.address,
             call.deadline_at,
             route.idempotent,
-            state.part(RouteCatalog).n_connections_max(part.service),
+            n_connections(state, part.service, now),
         )
     ]
--- a/jackdawsill/forwarding/_effects.py
+++ b/jackdawsill/forwarding/_effects.py
@@ -4,7 +4,12 @@
 
 from jackdawsill.core import Effect
 from jackdawsill.exceptions import JackdawsillError
-from jackdawsill.forwarding._model import ForwardRequest, MergedAnswer, ReplicaAnswer
+from jackdawsill.forwarding._model import (
+    ForwardRequest,
+    MergedAnswer,
+    ReplicaAnswer,
+    ReplicaEntry,
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -18,7 +23,14 @@
     address: str
     deadline_at: float
     idempotent: bool
-    n_connections_max: int
+    n_connections_max: int  # that this host may hold to the replica
+
+
+@dataclass(slots=True, frozen=True)
+class WarmReplicas(Effect):
+    """Open a connection to each replica to which there is none."""
+
+    entries: tuple[ReplicaEntry, ...]
 
 
 @dataclass(slots=True, frozen=True)
--- a/jackdawsill/forwarding/_policy.py
+++ b/jackdawsill/forwarding/_policy.py
@@ -15,8 +15,11 @@
     grace_s: float  # from the request to stop until the process is killed
 
 
-# Part of a route's usual times after which an attempt is hedged.
-HEDGE_QUANTILE = 0.95
+# An attempt is hedged after this multiple of the time within which this part of the
+# attempts end. Pauses and rare long requests, a few in a hundred, lie above the
+# quantile, so they do not move the delay.
+HEDGE_QUANTILE = 0.85
+HEDGE_STRETCH = 1.3
 # A hedge sooner than this would mostly answer timer noise.
 HEDGE_MIN_S = 0.008
 # Delay of hedges until a route's usual time is known, as a part of its objective.
--- a/jackdawsill/gateway/_build.py
+++ b/jackdawsill/gateway/_build.py
@@ -6,11 +6,13 @@
 from jackdawsill.forwarding import (
     CallTable,
     CrashEvidence,
+    FleetSize,
     ForwardingPolicy,
     GatewayLife,
     ReplicaRegistry,
     RetryBudget,
     RouteCatalog,
+    WarmUp,
 )
 from jackdawsill.gateway._settings import GatewaySettings
 from jackdawsill.relaying import NewsFeed
@@ -30,10 +32,13 @@
     )
     state.attach(RouteCatalog())
     state.attach(ReplicaRegistry(host.failure_domain, cfg.regions))
-    state.attach(RetryBudget(retries.ratio, retries.slack, retries.window_s))
+    fleet = FleetSize()
+    state.attach(fleet)
+    state.attach(RetryBudget(retries.ratio, retries.slack, retries.window_s, fleet))
     state.attach(CrashEvidence())
     state.attach(CallTable())
     state.attach(GatewayLife())
+    state.attach(WarmUp())
     state.attach(
         NewsFeed(
             cfg.ports.peers,
--- a/jackdawsill/gateway/_follower.py
+++ b/jackdawsill/gateway/_follower.py
@@ -56,6 +56,7 @@
         self.confirmed_at_: float | None = None
         self._task: asyncio.Task | None = None
         self._wake = asyncio.Event()
+        self._paused_s = 0.0
 
     def follow(self, effect: FollowStore) -> None:
         """Begin or end to follow; needs a running loop."""
@@ -104,6 +105,9 @@
     async def _follow(self) -> None:
         base = self.known_revision() or 0
         wait_s = RELAY_WATCH_S if self.is_relay_ else WATCH_S
+        # A pause before is part of the time after which news must be confirmed.
+        wait_s -= self._paused_s
+        self._paused_s = 0.0
         changes = await self.store.watch(base, wait_s)
         self._on_answer()
         if changes.written or changes.removed:
@@ -116,6 +120,7 @@
             self.feed(RoutesRead(changes.routes, STORE))
         self.feed(StoreConfirmed(changes.revision))
         if not changes.is_empty:
+            self._paused_s = GROUPING_S
             await self._pause(GROUPING_S)
 
     def _on_answer(self) -> None:
--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -31,6 +31,7 @@
     RouteCatalog,
     SendAttempt,
     SendMerged,
+    WarmReplicas,
 )
 from jackdawsill.gateway import _log_events as log_events
 from jackdawsill.gateway._build import build_gateway_state
@@ -150,6 +151,7 @@
             {
                 SendAttempt: self.replicas.send,
                 AbortAttempt: self.replicas.abort,
+                WarmReplicas: self.replicas.warm,
                 DropReplica: self.replicas.drop,
                 DropIdleConnections: self.replicas.drop_all_idle,
                 CheckStore: self.follower.check_now,
--- a/jackdawsill/http1/_client.py
+++ b/jackdawsill/http1/_client.py
@@ -14,6 +14,7 @@
     AttemptFailed,
     DropReplica,
     SendAttempt,
+    WarmReplicas,
 )
 from jackdawsill.http1._dialect import AttemptFault, BaseDialect
 from jackdawsill.http1._sockets import keep_alive_probes
@@ -24,10 +25,12 @@
 IDLE_MARGIN_S = 1.0
 # Idle time of a replica that states none.
 IDLE_DEFAULT_S = 4.0
-# Hosts that may hold connections to one replica; the share of each stays below the
-# replica's cap however many of them do.
-N_SHARING_HOSTS = 16
-N_CONNECTIONS_MIN = 2
+# A connection that was never used is kept until the replica closes it.
+IDLE_UNUSED_S = 60.0
+# A request that may run only once is sent over a connection that was used this
+# shortly before, or over a new one: a replica may have dropped an older one without
+# a sign, and a loss could then not be told from a run.
+IDLE_ONCE_S = 0.5
 SWEEP_S = 1.0
 MAX_HEAD_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
@@ -45,6 +48,7 @@
         "framed",
         "head_done",
         "headers",
+        "idle_since",
         "idle_until",
         "keep_s",
         "n_body",
@@ -60,8 +64,9 @@
         self.pool = pool
         self.transport: asyncio.Transport | None = None
         self.send: SendAttempt | None = None
+        self.idle_since = 0.0
         self.idle_until = 0.0
-        self.keep_s = IDLE_DEFAULT_S
+        self.keep_s = IDLE_UNUSED_S  # until the replica states its own
         self.dirty = False
         self.started = False  # bytes of a response were read for the current attempt
         self.parser = httptools.HttpResponseParser(self)
@@ -84,6 +89,8 @@
         """Send an attempt over this idle connection."""
         self.send = send
         self.started = False
+        if self.keep_s == IDLE_UNUSED_S:
+            self.keep_s = IDLE_DEFAULT_S
         self.transport.write(data)
 
     def data_received(self, data: bytes) -> None:
@@ -210,10 +217,19 @@
 class _Pool:
     """Connections to one replica, and the attempts that wait for one."""
 
-    __slots__ = ("address", "client", "connections", "idle", "n_opening", "waiting")
+    __slots__ = (
+        "address",
+        "client",
+        "connections",
+        "idle",
+        "n_opening",
+        "replica",
+        "waiting",
+    )
 
-    def __init__(self, client: "ReplicaClient", address: str) -> None:
+    def __init__(self, client: "ReplicaClient", replica: str, address: str) -> None:
         self.client = client
+        self.replica = replica
         self.address = address
         self.connections: set[_Connection] = set()
         self.idle: list[_Connection] = []
@@ -225,10 +241,8 @@
         now = self.client.clock()
         while self.idle:
             conn = self.idle.pop()
-            # A request that may run once only needs a connection that is sure to be
-            # open: a loss on a stale one could not be told from a run.
-            spare_s = 0.0 if send.idempotent else conn.keep_s / 4
-            if now + spare_s < conn.idle_until and not conn.transport.is_closing():
+            is_fresh = send.idempotent or now - conn.idle_since < IDLE_ONCE_S
+            if is_fresh and now < conn.idle_until and not conn.transport.is_closing():
                 self._write(conn, send)
                 return
             self.discard(conn)
@@ -236,9 +250,14 @@
         self._open_more(send.n_connections_max)
 
     def _open_more(self, n_max: int) -> None:
-        share = max(N_CONNECTIONS_MIN, n_max // N_SHARING_HOSTS)
         wanted = len(self.waiting) - self.n_opening
-        if wanted > 0 and len(self.connections) + self.n_opening < share:
+        if wanted > 0 and len(self.connections) + self.n_opening < n_max:
+            self.n_opening += 1
+            self.client.start_task(self._open())
+
+    def warm(self) -> None:
+        """Open a connection if there is none."""
+        if not self.connections and not self.n_opening:
             self.n_opening += 1
             self.client.start_task(self._open())
 
@@ -264,9 +283,7 @@
                 self.client.end(send, end)
             return
         self.connections.add(conn)
-        if self.waiting:
-            replica = self.waiting[0].replica
-            self.client.on_connected(replica, self.client.clock() - began_at)
+        self.client.on_connected(self.replica, self.client.clock() - began_at)
         self.on_free(conn)
 
     def on_free(self, conn: _Connection) -> None:
@@ -283,7 +300,8 @@
             return
         if conn not in self.idle:
             kept_s = max(0.5, conn.keep_s - IDLE_MARGIN_S)
-            conn.idle_until = self.client.clock() + kept_s
+            conn.idle_since = self.client.clock()
+            conn.idle_until = conn.idle_since + kept_s
             self.idle.append(conn)
 
     def _write(self, conn: _Connection, send: SendAttempt) -> None:
@@ -351,13 +369,22 @@
 
     def send(self, effect: SendAttempt) -> None:
         """Send an attempt."""
-        key = (effect.replica, effect.incarnation)
-        pool = self.pools_.get(key)
-        if pool is None or pool.address != effect.address:
-            pool = self.pools_[key] = _Pool(self, effect.address)
+        pool = self._pool(effect.replica, effect.incarnation, effect.address)
         self.waiting_[effect.attempt_id] = pool
         pool.submit(effect)
 
+    def warm(self, effect: WarmReplicas) -> None:
+        """Open a connection to each replica that has none."""
+        for entry in effect.entries:
+            self._pool(entry.name, entry.incarnation, entry.address).warm()
+
+    def _pool(self, replica: str, incarnation: str, address: str) -> _Pool:
+        key = (replica, incarnation)
+        pool = self.pools_.get(key)
+        if pool is None or pool.address != address:
+            pool = self.pools_[key] = _Pool(self, replica, address)
+        return pool
+
     def abort(self, effect: AbortAttempt) -> None:
         """Close the connection of an attempt, or take it out of the queue."""
         conn = self.sent_.pop(effect.attempt_id, None)
--- a/jackdawsill/relaying/_feed.py
+++ b/jackdawsill/relaying/_feed.py
@@ -14,8 +14,12 @@
 # the relays; otherwise a host that knows nothing asks the store soon.
 FIRST_START_PATIENCE_S = 3.0
 START_PATIENCE_S = 0.5
+# A relay looks this often whether it is linked to the other relays.
+MEET_S = 1.0
 # A host that follows the store itself goes back to relayed news after this time.
 DIRECT_MIN_S = 3.0
+# A relay that was silent or had old news is not tried again for this time.
+AVOID_S = 5.0
 # Time that one relay is given to open a link and send its first message.
 OPEN_LIMIT_S = 0.6
 
@@ -34,13 +38,19 @@
 
     __slots__ = (
         "address",
+        "avoided_",
         "confirmed_at_",
+        "counts_",
         "direct_since_",
         "is_direct_",
         "is_first_start",
         "link_id_",
-        "next_seed_",
+        "met_at_",
         "opened_at_",
+        "opening_",
+        "partners_",
+        "relay_",
+        "relay_subscribers_",
         "seeds",
         "sent_beat_at_",
         "started_at_",
@@ -61,10 +71,17 @@
         self.direct_since_ = 0.0
         self.upstream_ = Upstream.NONE
         self.link_id_ = 0
+        self.relay_ = ""  # address of the relay in use
         self.opened_at_ = 0.0
-        self.next_seed_ = 0
+        self.met_at_ = 0.0
+        self.opening_: dict[int, str] = {}  # link -> address
+        self.avoided_: dict[str, float] = {}  # address -> end
         self.sent_beat_at_ = 0.0
         self.subscribers_: set[int] = set()
+        self.relay_subscribers_: set[int] = set()  # a part of `subscribers_`
+        # Links of a relay to the other relays: link -> address.
+        self.partners_: dict[int, str] = {}
+        self.counts_: dict[str, int] = {}  # address of a relay -> its subscribers
 
     @property
     def is_relay(self) -> bool:
@@ -97,14 +114,36 @@
         is_new = now - self.direct_since_ < DIRECT_MIN_S
         return self.is_direct_ and (is_new or self.upstream_ is not Upstream.SYNCED)
 
-    def wants_upstream(self, now: float) -> bool:
+    def wants_upstream(self) -> bool:
         """Tell whether the host should learn from a relay."""
-        return not self.is_relay or self.age_s(now) > STALE_S
+        return not self.is_relay
 
-    def next_seed(self) -> str | None:
-        """Return the next relay to try."""
+    @property
+    def n_own(self) -> int:
+        """Return the number of hosts that learn from this one."""
+        return len(self.subscribers_) - len(self.relay_subscribers_)
+
+    def n_hosts(self) -> int:
+        """Return the size of the fleet as this relay sees it, or 0."""
+        others = [seed for seed in self.seeds if seed != self.address]
+        if not self.is_relay or any(seed not in self.counts_ for seed in others):
+            return 0
+        return len(self.seeds) + self.n_own + sum(self.counts_[s] for s in others)
+
+    def candidates(self, now: float) -> list[str]:
+        """Return the relays to try; those that failed lately only if all have."""
         others = [seed for seed in self.seeds if seed != self.address]
-        if not others:
-            return None
-        self.next_seed_ += 1
-        return others[self.next_seed_ % len(others)]
+        fresh = [seed for seed in others if now >= self.avoided_.get(seed, 0.0)]
+        return fresh or others
+
+    def leave(self, now: float, address: str | None = None) -> list[int]:
+        """Give up the link or the attempts to open one; return the links to close."""
+        if address is not None:
+            self.avoided_[address] = now + AVOID_S
+        links = list(self.opening_)
+        if self.link_id_:
+            links.append(self.link_id_)
+        self.opening_.clear()
+        self.link_id_ = 0
+        self.upstream_ = Upstream.NONE
+        return links
--- a/jackdawsill/relaying/_handlers.py
+++ b/jackdawsill/relaying/_handlers.py
@@ -16,6 +16,7 @@
 )
 from jackdawsill.forwarding import (
     PEER,
+    FleetSize,
     ReplicaRegistry,
     ReplicasChanged,
     ReplicasExpired,
@@ -28,6 +29,7 @@
 from jackdawsill.relaying._effects import FollowStore
 from jackdawsill.relaying._feed import (
     BEAT_S,
+    MEET_S,
     OPEN_LIMIT_S,
     STALE_S,
     NewsFeed,
@@ -94,17 +96,39 @@
     message = event.message
     if isinstance(message, NewsWanted):
         feed.subscribers_.add(event.link_id)
+        if message.is_relay:
+            feed.relay_subscribers_.add(event.link_id)
         known = state.part(ReplicaRegistry).revision_
         version = state.part(RouteCatalog).version
         if known == message.revision and version == message.version:
-            return [SendPeer(event.link_id, NewsBeat(known, feed.age_s(now)))]
+            return [SendPeer(event.link_id, _beat(state, known, now))]
         return [SendPeer(event.link_id, _snapshot(state, now))]
+    if event.link_id in feed.partners_:
+        if isinstance(message, NewsBeat):
+            feed.counts_[feed.partners_[event.link_id]] = message.n_subscribers
+            _note_fleet_size(state, feed.n_hosts(), now)
+        return _learn(state, event.link_id, message, now)
     if event.link_id != feed.link_id_:
-        return []
-    return _learn(state, message, now)
+        # A subscriber that reaches the store offers what this host lacks.
+        is_offer = isinstance(message, NewsSnapshot)
+        return _learn(state, event.link_id, message, now) if is_offer else []
+    if isinstance(message, NewsBeat):
+        _note_fleet_size(state, message.n_hosts, now)
+    effects = _learn(state, event.link_id, message, now)
+    age_s = getattr(message, "age_s", 0.0)
+    if age_s > STALE_S and feed.is_direct_ and feed.age_s(now) <= STALE_S:
+        # The relay does not reach the store, but this host does.
+        effects.append(SendPeer(event.link_id, _snapshot(state, now)))
+    return effects
+
 
+def _note_fleet_size(state: HostState, n_hosts: int, now: float) -> None:
+    """Tell the parts that share a bound with the whole fleet."""
+    if n_hosts:
+        state.part(FleetSize).note(n_hosts, now)
 
-def _learn(state: HostState, message: object, now: float) -> list[Effect]:
+
+def _learn(state: HostState, link_id: int, message: object, now: float) -> list[Effect]:
     """Apply the news of a relay."""
     feed = state.part(NewsFeed)
     registry = state.part(ReplicaRegistry)
@@ -122,8 +146,11 @@
         if known is not None and message.base > known:
             # A change was missed; the answer is a snapshot.
             version = state.part(RouteCatalog).version
-            return [SendPeer(feed.link_id_, NewsWanted(version, known))]
-        if message.written or message.removed:
+            wanted = NewsWanted(version, known, feed.is_relay)
+            return [SendPeer(link_id, wanted)]
+        is_new = message.revision > (known or 0)
+        # An expired entry is removed without a new revision.
+        if is_new or any(name in registry.replicas_ for name in message.removed):
             change = ReplicasChanged(
                 message.written,
                 message.removed,
@@ -135,26 +162,38 @@
             effects.append(Raise(change))
     elif isinstance(message, NewsBeat):
         # All changes before it came on the same link.
-        if known is not None and feed.upstream_ is Upstream.SYNCED:
+        is_synced = feed.upstream_ is Upstream.SYNCED and link_id == feed.link_id_
+        if known is not None and is_synced:
             registry.revision_ = max(known, message.revision)
     else:
         return []
     if message.age_s <= STALE_S:
-        feed.upstream_ = Upstream.SYNCED
+        if link_id == feed.link_id_:
+            feed.upstream_ = Upstream.SYNCED
         feed.confirm(now - message.age_s)
     return effects
 
 
 @handles(LinkOpened, needs=NewsFeed)
 def on_opened(state: HostState, event: LinkOpened, now: float) -> list[Effect]:
-    """Ask a relay for its news."""
+    """Ask the relay whose link opens first, which is the nearest, for its news."""
     feed = state.part(NewsFeed)
-    if not event.outgoing or event.link_id != feed.link_id_:
+    if not event.outgoing:
         return []
-    feed.upstream_ = Upstream.ASKED
     version = state.part(RouteCatalog).version
-    revision = state.part(ReplicaRegistry).revision_
-    return [SendPeer(event.link_id, NewsWanted(version, revision or 0))]
+    revision = state.part(ReplicaRegistry).revision_ or 0
+    wanted = NewsWanted(version, revision, feed.is_relay)
+    if event.link_id in feed.partners_:
+        return [SendPeer(event.link_id, wanted)]
+    address = feed.opening_.pop(event.link_id, None)
+    if address is None:
+        # The race was over before this link was open.
+        return [CloseLink(event.link_id)]
+    others = feed.leave(now)
+    feed.link_id_ = event.link_id
+    feed.relay_ = address
+    feed.upstream_ = Upstream.ASKED
+    return [SendPeer(event.link_id, wanted), *map(CloseLink, others)]
 
 
 @handles(LinkClosed, needs=NewsFeed)
@@ -162,13 +201,15 @@
     """Forget a subscriber, or try another relay at the next tick."""
     feed = state.part(NewsFeed)
     feed.subscribers_.discard(event.link_id)
-    if event.link_id != feed.link_id_:
+    feed.relay_subscribers_.discard(event.link_id)
+    feed.partners_.pop(event.link_id, None)
+    if feed.opening_.pop(event.link_id, None) is not None:
+        if not feed.opening_ and feed.upstream_ is Upstream.OPENING:
+            feed.upstream_ = Upstream.NONE
         return []
-    was_synced = feed.upstream_ is Upstream.SYNCED
-    feed.upstream_ = Upstream.NONE
-    feed.link_id_ = 0
-    if not was_synced:
+    if event.link_id != feed.link_id_:
         return []
+    feed.leave(now, feed.relay_)
     fields = {"address": event.address, "detail": event.detail}
     return [LogEvent(log_events.RELAY_LOST, fields)]
 
@@ -205,34 +246,57 @@
     if age_s > STALE_S:
         # Silence tells the subscribers to learn elsewhere.
         return []
-    beat = NewsBeat(revision, age_s)
+    beat = _beat(state, revision, now)
     return [SendPeer(link_id, beat) for link_id in feed.subscribers_]
 
 
+def _beat(state: HostState, revision: int, now: float) -> NewsBeat:
+    feed = state.part(NewsFeed)
+    return NewsBeat(revision, feed.age_s(now), feed.n_own, feed.n_hosts())
+
+
+def _meet_partners(state: HostState) -> list[Effect]:
+    """Open the links of a relay to the other relays, one attempt at a time."""
+    feed = state.part(NewsFeed)
+    met = set(feed.partners_.values())
+    effects: list[Effect] = []
+    for address in feed.seeds:
+        if address != feed.address and address not in met:
+            link_id = state.next_id()
+            feed.partners_[link_id] = address
+            effects.append(OpenLink(link_id, address))
+    return effects
+
+
 def _upkeep(state: HostState, now: float) -> list[Effect]:
     """Open a link to a relay, or leave one whose news is old."""
     feed = state.part(NewsFeed)
+    if feed.is_relay and now - feed.met_at_ >= MEET_S:
+        feed.met_at_ = now
+        return _meet_partners(state)
     if feed.upstream_ is Upstream.NONE:
-        if not feed.wants_upstream(now):
-            return []
-        seed = feed.next_seed()
-        if seed is None:
+        if not feed.wants_upstream():
             return []
-        feed.link_id_ = state.next_id()
-        feed.upstream_ = Upstream.OPENING
         feed.opened_at_ = now
-        return [OpenLink(feed.link_id_, seed)]
+        for address in feed.candidates(now):
+            feed.opening_[state.next_id()] = address
+        if feed.opening_:
+            feed.upstream_ = Upstream.OPENING
+        return [OpenLink(link_id, to) for link_id, to in feed.opening_.items()]
     if feed.upstream_ is Upstream.SYNCED:
         is_useless = feed.age_s(now) > STALE_S or feed.is_relay
     else:
         is_useless = now - feed.opened_at_ > OPEN_LIMIT_S
     if not is_useless:
         return []
-    link_id = feed.link_id_
-    fields = {"state": str(feed.upstream_), "age_s": round(now - feed.opened_at_, 2)}
-    feed.upstream_ = Upstream.NONE
-    feed.link_id_ = 0
-    return [CloseLink(link_id), LogEvent(log_events.RELAY_LEFT, fields)]
+    fields = {
+        "address": feed.relay_,
+        "state": str(feed.upstream_),
+        "age_s": round(now - feed.opened_at_, 2),
+    }
+    avoided = None if feed.upstream_ is Upstream.OPENING else feed.relay_
+    links = feed.leave(now, avoided)
+    return [*map(CloseLink, links), LogEvent(log_events.RELAY_LEFT, fields)]
 
 
 def _broadcast(state: HostState, change: NewsChange, now: float) -> list[Effect]:
--- a/jackdawsill/relaying/_log_events.py
+++ b/jackdawsill/relaying/_log_events.py
@@ -22,6 +22,6 @@
 RELAY_LEFT = register_log_event(
     2602,
     "relay_left",
-    "the relay is left in state {state} after {age_s} s",
+    "relay {address} is left in state {state} after {age_s} s",
     "The relay did not answer, or its news was too old.",
 )
--- a/jackdawsill/relaying/_messages.py
+++ b/jackdawsill/relaying/_messages.py
@@ -13,6 +13,7 @@
 
     version: int
     revision: int
+    is_relay: bool = False  # the sender has subscribers of its own
 
 
 @register_message("NewsSnapshot")
@@ -50,3 +51,5 @@
 
     revision: int
     age_s: float
+    n_subscribers: int = 0
+    n_hosts: int = 0  # of the fleet, 0 if the sender cannot tell
--- /dev/null
+++ b/jackdawsill/relaying/tests/_fleet.py
@@ -0,0 +1,201 @@
+"""Hosts whose links are queues of the test, with one store that some can reach."""
+
+import random
+from collections import deque
+
+from jackdawsill.core import (
+    CloseLink,
+    HostState,
+    LinkClosed,
+    LinkOpened,
+    OpenLink,
+    PeerMessageRead,
+    SendPeer,
+    Tick,
+    reduce,
+)
+from jackdawsill.forwarding import (
+    STORE,
+    FleetSize,
+    ReplicaEntry,
+    ReplicaRegistry,
+    ReplicasChanged,
+    ReplicasListed,
+    RouteCatalog,
+    RouteSet,
+    RoutesRead,
+    StoreConfirmed,
+)
+from jackdawsill.peers import Decoder, encode
+from jackdawsill.relaying import FollowStore, NewsFeed
+
+TICK_S = 0.1
+
+
+def entry(name: str) -> ReplicaEntry:
+    """Return the entry of a replica."""
+    return ReplicaEntry(name, "docs", "10.0.0.1:80", "near", 2)
+
+
+class Store:
+    """The store's content as a list of revisions."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.version = 1
+        self.entries = {"r1": entry("r1")}
+        self.last_removed: tuple[str, ...] = ()
+
+    def write(self, name: str) -> None:
+        """Register a replica."""
+        self.entries[name] = entry(name)
+        self.revision += 1
+
+    def remove(self, name: str) -> None:
+        """Remove a replica."""
+        del self.entries[name]
+        self.revision += 1
+
+    def configure(self) -> None:
+        """Publish a new configuration."""
+        self.version += 1
+        self.revision += 1
+
+    def routes(self) -> RouteSet:
+        """Return the configuration."""
+        return RouteSet(self.version, (), {})
+
+
+class Host:
+    """One host; it follows the store at each tick while it was told to."""
+
+    def __init__(self, fleet: "Fleet", address: str, *, first_start: bool) -> None:
+        self.fleet = fleet
+        self.address = address
+        self.state = HostState(address, "near", random.Random(1))
+        self.feed = NewsFeed(address, fleet.seeds, is_first_start=first_start)
+        for part in (
+            RouteCatalog(),
+            ReplicaRegistry("near", {}),
+            FleetSize(),
+            self.feed,
+        ):
+            self.state.attach(part)
+        self.follows = False
+        self.reaches_store = True
+        self.n_reads = 0
+
+    def handle(self, event) -> None:
+        """Reduce an event and carry out its effects."""
+        for effect in reduce(self.state, event, self.fleet.now):
+            if isinstance(effect, FollowStore):
+                self.follows = effect.enabled
+            elif isinstance(effect, OpenLink):
+                self.fleet.open(self, effect)
+            elif isinstance(effect, CloseLink):
+                self.fleet.close(self, effect.link_id)
+            elif isinstance(effect, SendPeer):
+                self.fleet.send(self, effect.link_id, effect.message)
+
+    def follow(self) -> None:
+        """Read what the store has that this host has not."""
+        store = self.fleet.store
+        if not (self.follows and self.reaches_store):
+            return
+        self.n_reads += 1
+        registry = self.state.part(ReplicaRegistry)
+        if registry.revision_ is None:
+            entries = tuple(store.entries.values())
+            self.handle(ReplicasListed(entries, store.revision, STORE))
+        elif registry.revision_ < store.revision:
+            removed = tuple(n for n in registry.replicas_ if n not in store.entries)
+            written = tuple(store.entries.values())
+            base = registry.revision_
+            self.handle(ReplicasChanged(written, removed, store.revision, STORE, base))
+        if self.state.part(RouteCatalog).version < store.version:
+            self.handle(RoutesRead(store.routes(), STORE))
+        self.handle(StoreConfirmed(store.revision))
+
+    @property
+    def known(self) -> tuple[int, list[str]]:
+        """Return the version in force and the names of the replicas."""
+        registry = self.state.part(ReplicaRegistry)
+        return self.state.part(RouteCatalog).version, sorted(registry.replicas_)
+
+
+class Fleet:
+    """Carry messages between hosts in order."""
+
+    def __init__(self, n_hosts: int, n_seeds: int = 3, *, first_start: bool = True):
+        self.now = 100.0
+        self.store = Store()
+        self.seeds = tuple(f"h{i}" for i in range(n_seeds))
+        self.ends: dict[tuple[Host, int], tuple[Host, int]] = {}
+        self.queue: deque = deque()
+        self.hosts = {
+            f"h{i}": Host(self, f"h{i}", first_start=first_start)
+            for i in range(n_hosts)
+        }
+        self.down: set[str] = set()
+
+    def open(self, host: Host, effect: OpenLink) -> None:
+        """Connect two hosts, if the other one is up."""
+        other = self.hosts.get(effect.address)
+        if other is None or other.address in self.down:
+            closed = LinkClosed(effect.link_id, effect.address, "refused")
+            self.queue.append((host, closed))
+            return
+        other_id = other.state.next_id()
+        self.ends[host, effect.link_id] = (other, other_id)
+        self.ends[other, other_id] = (host, effect.link_id)
+        opened = LinkOpened(effect.link_id, effect.address, True)
+        self.queue.append((other, LinkOpened(other_id, host.address, False)))
+        self.queue.append((host, opened))
+
+    def close(self, host: Host, link_id: int) -> None:
+        """Close a link at both ends."""
+        end = self.ends.pop((host, link_id), None)
+        self.queue.append((host, LinkClosed(link_id, "", "closed")))
+        if end is not None:
+            self.ends.pop(end, None)
+            self.queue.append((end[0], LinkClosed(end[1], host.address, "closed")))
+
+    def send(self, host: Host, link_id: int, message) -> None:
+        """Carry a message as bytes."""
+        end = self.ends.get((host, link_id))
+        if end is not None:
+            (copy,) = Decoder().feed(encode(message))
+            self.queue.append((end[0], PeerMessageRead(end[1], copy)))
+
+    def stop(self, address: str) -> None:
+        """Let a host fall silent for good, without closing its links."""
+        self.down.add(address)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / TICK_S)):
+            self.now += TICK_S
+            for host in self.hosts.values():
+                if host.address not in self.down:
+                    host.handle(Tick())
+                    host.follow()
+            self.deliver()
+
+    def deliver(self) -> None:
+        """Deliver all queued messages."""
+        n_delivered = 0
+        while self.queue:
+            host, event = self.queue.popleft()
+            n_delivered += 1
+            assert n_delivered < 100_000, "messages go round for ever"
+            if host.address not in self.down:
+                host.handle(event)
+
+    def lagging(self) -> list[str]:
+        """Return the hosts that do not know what the store says."""
+        wanted = (self.store.version, sorted(self.store.entries))
+        return [
+            host.address
+            for host in self.hosts.values()
+            if host.address not in self.down and host.known != wanted
+        ]
--- /dev/null
+++ b/jackdawsill/relaying/tests/test_relaying.py
@@ -0,0 +1,115 @@
+"""Relayed news: few readers, bounded age, and lost relays and stores."""
+
+import unittest
+
+from jackdawsill.forwarding import FleetSize
+from jackdawsill.relaying.tests._fleet import Fleet
+
+# Time in which a change of routes or replicas must be in force.
+IN_FORCE_S = 3.0
+
+
+class TestQuiet(unittest.TestCase):
+    """Without faults only the relays read the store."""
+
+    def setUp(self):
+        self.fleet = Fleet(12)
+        self.fleet.run(4.0)
+
+    def test_all_learn(self):
+        """Guards against hosts without routes or replicas."""
+        self.assertEqual(self.fleet.lagging(), [])
+
+    def test_only_relays_read(self):
+        """Guards against calls that grow with the fleet."""
+        readers = [h.address for h in self.fleet.hosts.values() if h.follows]
+        self.assertEqual(readers, list(self.fleet.seeds))
+        others = [h for h in self.fleet.hosts.values() if not h.feed.is_relay]
+        self.assertEqual(sum(h.n_reads for h in others), 0)
+
+    def test_changes_arrive_at_once(self):
+        """Guards against changes that wait for the next sign of life."""
+        self.fleet.store.write("r2")
+        self.fleet.store.remove("r1")
+        self.fleet.store.configure()
+        self.fleet.run(0.2)
+        self.assertEqual(self.fleet.lagging(), [])
+
+    def test_fleet_is_counted(self):
+        """Guards against shares of common bounds for another number of hosts."""
+        self.fleet.run(8.0)
+        for host in self.fleet.hosts.values():
+            sharing = host.state.part(FleetSize).sharing(self.fleet.now)
+            self.assertAlmostEqual(sharing, 1.25 * 12)
+
+
+class TestFaults(unittest.TestCase):
+    """Every host that reaches a store or a relay knows changes in time."""
+
+    def setUp(self):
+        self.fleet = Fleet(12)
+        self.fleet.run(6.0)
+
+    def change_and_check(self):
+        """Change the store and let the bound pass."""
+        self.fleet.store.write(f"x{self.fleet.store.revision}")
+        self.fleet.store.configure()
+        self.fleet.run(IN_FORCE_S)
+        self.assertEqual(self.fleet.lagging(), [])
+
+    def test_silent_relay(self):
+        """Guards against trusting a relay that says nothing any more."""
+        self.fleet.stop("h0")
+        self.change_and_check()
+
+    def test_all_relays_silent(self):
+        """Guards against hosts that wait for relays that are gone."""
+        for seed in self.fleet.seeds:
+            self.fleet.stop(seed)
+        self.change_and_check()
+
+    def test_relay_without_store(self):
+        """Guards against old news from a relay that the store refuses."""
+        self.fleet.hosts["h1"].reaches_store = False
+        self.change_and_check()
+
+    def test_all_relays_without_store(self):
+        """Guards against a fleet that depends on the store's answers to relays."""
+        for seed in self.fleet.seeds:
+            self.fleet.hosts[seed].reaches_store = False
+        self.change_and_check()
+
+    def test_most_hosts_without_store(self):
+        """Guards against refused hosts that do not ask their peers."""
+        for address, host in self.fleet.hosts.items():
+            host.reaches_store = address == "h2"
+        self.change_and_check()
+
+    def test_back_to_relays(self):
+        """Guards against a fleet that reads the store for ever after a fault."""
+        for seed in self.fleet.seeds:
+            self.fleet.hosts[seed].reaches_store = False
+        self.fleet.run(5.0)
+        for seed in self.fleet.seeds:
+            self.fleet.hosts[seed].reaches_store = True
+        self.fleet.run(10.0)
+        readers = [h.address for h in self.fleet.hosts.values() if h.follows]
+        self.assertEqual(readers, list(self.fleet.seeds))
+
+
+class TestStart(unittest.TestCase):
+    """A restarted host learns soon, whoever is there."""
+
+    def test_without_relays(self):
+        """Guards against a restart that waits for dead relays."""
+        fleet = Fleet(5, first_start=False)
+        for seed in fleet.seeds:
+            fleet.stop(seed)
+        fleet.run(1.5)
+        self.assertEqual(fleet.lagging(), [])
+
+    def test_without_seeds(self):
+        """Guards against a host that has nobody to ask."""
+        fleet = Fleet(2, n_seeds=0)
+        fleet.run(0.5)
+        self.assertEqual(fleet.lagging(), [])
