Keep metrics in plain records until they are read

Cause: the import of OpenTelemetry at the first call took 0.25 s on the smallest hosts, so the first calls of each host were late.

Change: counts and values are kept, and given to the instruments when the metrics are read. The line of a call tells its hedge delay and withheld hedges.

--- a/jackdawsill/forwarding/_calls.py
+++ b/jackdawsill/forwarding/_calls.py
@@ -60,7 +60,9 @@
     timer_id: str
     fingerprint: int = 0
     parts: list[Part] = field(default_factory=list)
+    hedge_delay_s: float = 0.0  # without the distance of the replica
     n_hedges: int = 0
+    n_withheld: int = 0  # hedges that the budget did not allow
     n_retries: int = 0
     replied: bool = False
 
--- a/jackdawsill/forwarding/_dispatch.py
+++ b/jackdawsill/forwarding/_dispatch.py
@@ -61,6 +61,7 @@
     ) is None or not state.part(RetryBudget).try_spend(
         part.service, now, is_hedge=True
     ):
+        call.n_withheld += 1
         return [Count("forwarding_hedges_withheld")]
     call.n_hedges += 1
     return [Count("forwarding_hedges_sent"), *_send(state, part, now, is_hedge=True)]
@@ -112,7 +113,9 @@
     replica.in_flight += 1
     state.part(CallTable).attempts_[attempt.attempt_id] = attempt
     if not is_hedge:
-        part.hedge_at = now + distance_s + hedge_delay_s(state, route)
+        if not call.hedge_delay_s:
+            call.hedge_delay_s = hedge_delay_s(state, route)
+        part.hedge_at = now + distance_s + call.hedge_delay_s
     return [
         SendAttempt(
             attempt.attempt_id,
--- a/jackdawsill/forwarding/_finish.py
+++ b/jackdawsill/forwarding/_finish.py
@@ -208,7 +208,9 @@
         "left_ms": round((call.deadline_at - call.arrived_at - elapsed_s) * 1000),
         "parts": len(call.parts),
         "answered": call.n_answered,
+        "hedge_ms": round(call.hedge_delay_s * 1000, 1),
         "hedges": call.n_hedges,
+        "withheld": call.n_withheld,
         "retries": call.n_retries,
     }
     missing = [_part_text(part) for part in call.parts if part.answer is None]
--- a/jackdawsill/gateway/_operator.py
+++ b/jackdawsill/gateway/_operator.py
@@ -12,6 +12,9 @@
 TEXT = ((b"Content-Type", b"text/plain; version=0.0.4"),)
 JSON = ((b"Content-Type", b"application/json"),)
 
+# Counts and values kept until the metrics are read; some hundred bytes each.
+MAX_PENDING = 8192
+
 
 class OperatorPort:
     """Answer the balancer's health check, and serve metrics and status."""
@@ -27,6 +30,7 @@
         self.clock = clock
         self.ready_ = False
         self.instruments_: Any = None
+        self.pending_: list[Count | Observe] = []
         self.health = self._server(self._on_health)
         self.views = self._server(self._on_view)
 
@@ -44,20 +48,28 @@
         """Carry out `SetReadiness`."""
         self.ready_ = effect.ready
 
-    def count(self, effect: Count) -> None:
-        """Add to a counter."""
-        self._instruments().count(effect)
+    def record(self, effect: Count | Observe) -> None:
+        """Keep a count or a value until the metrics are read."""
+        self.pending_.append(effect)
+        if len(self.pending_) >= MAX_PENDING:
+            self._flush()
 
-    def observe(self, effect: Observe) -> None:
-        """Record a value in a histogram."""
-        self._instruments().observe(effect)
+    def _flush(self) -> Any:
+        """Return the instruments with all that was recorded.
 
-    def _instruments(self) -> Any:
-        """Return the instruments, which are made after the ports are open."""
+        OpenTelemetry is imported here: its import takes longer than the rest of the
+        start, and a host whose metrics nobody reads needs no memory for it.
+        """
         if self.instruments_ is None:
             from jackdawsill.metrics import Instruments, MetricsSettings
 
             self.instruments_ = Instruments(MetricsSettings(host=self.state.name))
+        pending, self.pending_ = self.pending_, []
+        for effect in pending:
+            if isinstance(effect, Count):
+                self.instruments_.count(effect)
+            else:
+                self.instruments_.observe(effect)
         return self.instruments_
 
     def _server(self, on_request: Callable[[int, RawRequest], None]) -> CallServer:
@@ -77,7 +89,7 @@
     def _on_view(self, call_id: int, raw: RawRequest) -> None:
         path = raw.target.partition(b"?")[0]
         if path == b"/metrics":
-            body = self._instruments().render().encode()
+            body = self._flush().render().encode()
             self.views.reply(call_id, 200, TEXT, body)
         elif path == b"/status":
             sections = status(self.state, self.clock())
--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -164,8 +164,8 @@
                 RefuseCall: self._refuse,
                 CloseCallers: self._close_callers,
                 SetReadiness: self.operators.set_readiness,
-                Count: self.operators.count,
-                Observe: self.operators.observe,
+                Count: self.operators.record,
+                Observe: self.operators.record,
                 Exit: lambda effect: self.stop(),
             }
         )
