--- a/jackdawsill/relaying/_feed.py
+++ b/jackdawsill/relaying/_feed.py
@@ -13,7 +13,7 @@
 # On the first start of a fleet all hosts start together, and it is worth waiting for
 # the relays; otherwise a host that knows nothing asks the store soon.
 FIRST_START_PATIENCE_S = 3.0
-START_PATIENCE_S = 0.5
+START_PATIENCE_S = 0.1
 # A relay looks this often whether it is linked to the other relays.
 MEET_S = 1.0
 # A host that follows the store itself goes back to relayed news after this time.
