--- a/jackdawsill/cli/_commands.py
+++ b/jackdawsill/cli/_commands.py
@@ -18,8 +18,14 @@
     ask_hosts,
     check_host,
 )
-from jackdawsill.cli._errors import BadArgument, CommandFailed, FileNotWritten
+from jackdawsill.cli._errors import (
+    BadArgument,
+    CommandFailed,
+    FileNotWritten,
+    RequestNotFound,
+)
 from jackdawsill.cli._render import in_reading_order, render, render_diff
+from jackdawsill.cli._trace import trace_request
 from jackdawsill.exceptions import JackdawsillError
 from jackdawsill.ini import one_line
 from jackdawsill.objects import CheckedSet, SetInvalid, check_set, diff
@@ -209,6 +215,17 @@
         raise FileNotWritten(message) from None
 
 
+@_command
+def trace(request_id: str, *files: str) -> None:
+    """Print what log files say of a request, and what its hosts believed then."""
+    lines = trace_request(request_id, [Path(name) for name in files])
+    if not lines:
+        message = f"{len(files)} files say nothing of request {request_id!r}"
+        raise RequestNotFound(message)
+    for line in lines:
+        print(one_line(line.text()))
+
+
 COMMANDS: dict[str, Callable[..., None]] = {
     "check": check,
     "bundle": bundle,
@@ -216,4 +233,5 @@
     "status": status,
     "explain": explain,
     "burn": burn,
+    "trace": trace,
 }
--- a/jackdawsill/cli/_errors.py
+++ b/jackdawsill/cli/_errors.py
@@ -38,6 +38,16 @@
     """A file that a command was told to write cannot be written."""
 
 
+@register_error(5207)
+class FileNotRead(JackdawsillError):
+    """A file that a command was told to read cannot be read."""
+
+
+@register_error(5208)
+class RequestNotFound(JackdawsillError):
+    """No line of the log files names the request."""
+
+
 class CommandFailed(Exception):
     """Several errors of one command, to be printed one per line."""
 
--- /dev/null
+++ b/jackdawsill/cli/tests/test_trace.py
@@ -0,0 +1,44 @@
+"""The walk from a request's id to its cause."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from jackdawsill.cli._errors import FileNotRead
+from jackdawsill.cli._trace import trace_request
+
+
+def line(time: str, name: str, **fields) -> str:
+    """Return one line of a log."""
+    return json.dumps({"time": time, "name": name, "fields": fields})
+
+
+class TestTrace(unittest.TestCase):
+    """Lines of one request with the beliefs before them."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "h1.log"
+
+    def test_beliefs_of_the_same_host(self):
+        """Guards against a cause that stands in another line than the request."""
+        lines = [
+            line("01", "replicas_changed", host="h1", revision=4),
+            line("02", "store_lost", host="h2"),
+            "no event at all",
+            line("03", "attempt_failed", host="h1", request="r1", replica="i-1"),
+            line("04", "call_ended", host="h1", request="r0"),
+            line("05", "call_ended", host="h1", request="r1", outcome="JDS-2504"),
+        ]
+        self.path.write_text("\n".join(lines), encoding="utf-8")
+        found = trace_request("r1", [self.path])
+        names = [entry.name for entry in found]
+        self.assertEqual(names, ["replicas_changed", "attempt_failed", "call_ended"])
+        self.assertIn("replica=i-1", found[1].text())
+
+    def test_unreadable(self):
+        """Guards against a traceback for a name that was misspelt."""
+        with self.assertRaises(FileNotRead):
+            trace_request("r1", [self.path])
--- a/jackdawsill/forwarding/__init__.py
+++ b/jackdawsill/forwarding/__init__.py
@@ -4,6 +4,7 @@
     _admit,
     _beliefs,
     _outcomes,
+    _views,
     _warming,
 )
 from jackdawsill.forwarding._budget import RetryBudget
--- /dev/null
+++ b/jackdawsill/forwarding/_views.py
@@ -0,0 +1,43 @@
+"""Status of the forwarding for operators."""
+
+from typing import Any
+
+from jackdawsill.core import HostState, status_section
+from jackdawsill.forwarding._calls import CallTable
+from jackdawsill.forwarding._catalog import RouteCatalog
+from jackdawsill.forwarding._fleet import FleetSize
+from jackdawsill.forwarding._registry import ReplicaRegistry
+
+
+@status_section("routes")
+def view_routes(state: HostState, now: float) -> dict[str, Any]:
+    """Return the version in force and its age."""
+    catalog = state.parts_.get(RouteCatalog)
+    if catalog is None or catalog.routes_ is None:
+        return {}
+    return {
+        "version": catalog.version,
+        "age_s": round(now - catalog.read_at_, 1),
+        "n_routes": len(catalog.routes_.routes),
+    }
+
+
+@status_section("forwarding")
+def view_forwarding(state: HostState, now: float) -> dict[str, Any]:
+    """Return calls in hand, and the replicas that are not as usual."""
+    registry = state.parts_.get(ReplicaRegistry)
+    if registry is None:
+        return {}
+    replicas = registry.replicas_.values()
+    lost_at = registry.store_lost_at_
+    return {
+        "calls": len(state.part(CallTable)),
+        "fleet": state.part(FleetSize).sharing(now),
+        "replicas": len(registry.replicas_),
+        "revision": registry.revision_,
+        "changed_s": round(now - registry.changed_at_, 1),
+        "store_lost_s": None if lost_at is None else round(now - lost_at, 1),
+        "draining": sorted(r.entry.name for r in replicas if r.entry.draining),
+        "avoided": sorted(r.entry.name for r in replicas if r.is_ejected(now)),
+        "lapsed": sorted(r.entry.name for r in replicas if r.lapsed_at is not None),
+    }
--- a/jackdawsill/relaying/__init__.py
+++ b/jackdawsill/relaying/__init__.py
@@ -1,6 +1,6 @@
 """Relaying of the store's news: few hosts follow the store, the others follow them."""
 
-from jackdawsill.relaying import _handlers  # noqa: F401
+from jackdawsill.relaying import _handlers, _views  # noqa: F401
 from jackdawsill.relaying._effects import FollowStore
 from jackdawsill.relaying._feed import NewsFeed, Upstream
 from jackdawsill.relaying._messages import (
