Tell all hosts of requests that crash replicas

Cause: each host condemned a harmful request only by crashes that it saw itself, so a request that comes again at other hosts took down replicas at each of them.

Change: confirmed crashes are relayed to every host; a request is condemned by three crashes in two sends of it, so that the retry of a fan-out that met one outage is not refused; a condemned request gets 503, which is true; a refused connection that was to be opened ahead confirms a crash too.

--- a/jackdawsill/forwarding/_crashes.py
+++ b/jackdawsill/forwarding/_crashes.py
@@ -6,18 +6,21 @@
 
 from jackdawsill.forwarding._model import ForwardRequest
 
-# Crashes of replicas by one request, within EVIDENCE_S, that condemn it.
+# A request is condemned by this many crashes within EVIDENCE_S, in this many sends of
+# it by its caller. Replicas that go down together meet one send of a fan-out only.
 N_CRASHES_TO_CONDEMN = 3
+N_SENDS_TO_CONDEMN = 2
 EVIDENCE_S = 60.0
 CONDEMNED_S = 600.0
 MAX_KEPT = 2048
+MAX_CRASHES_KEPT = 64  # of one request
 
 
 @dataclass(slots=True)
 class _Evidence:
-    """Crashes of replicas while a request ran on them."""
+    """Crashes of replicas while a request ran on them: (request id, replica)."""
 
-    crashes: list[str] = field(default_factory=list)
+    crashes: set[tuple[str, str]] = field(default_factory=set)
     last_at: float = 0.0
     condemned_until: float = 0.0
 
@@ -40,19 +43,23 @@
     def __init__(self) -> None:
         self.evidence_: OrderedDict[int, _Evidence] = OrderedDict()
 
-    def on_crash(self, key: int, replica: str, now: float) -> bool:
-        """Record a crashed replica; return whether it condemns the request."""
+    def on_crash(self, key: int, request_id: str, replica: str, now: float) -> bool:
+        """Record a crashed replica; return whether this host did not know of it."""
         evidence = self.evidence_.setdefault(key, _Evidence())
         if now - evidence.last_at > EVIDENCE_S:
             evidence.crashes.clear()
-        evidence.crashes.append(replica)
+        crash = (request_id, replica)
+        if crash in evidence.crashes or len(evidence.crashes) >= MAX_CRASHES_KEPT:
+            return False
+        evidence.crashes.add(crash)
         evidence.last_at = now
         self.evidence_.move_to_end(key)
         while len(self.evidence_) > MAX_KEPT:
             self.evidence_.popitem(last=False)
-        if len(evidence.crashes) < N_CRASHES_TO_CONDEMN:
-            return False
-        evidence.condemned_until = now + CONDEMNED_S
+        n_sends = len({request_id for request_id, _ in evidence.crashes})
+        n_crashes = len(evidence.crashes)
+        if n_crashes >= N_CRASHES_TO_CONDEMN and n_sends >= N_SENDS_TO_CONDEMN:
+            evidence.condemned_until = now + CONDEMNED_S
         return True
 
     def on_success(self, key: int) -> None:
--- a/jackdawsill/forwarding/_errors.py
+++ b/jackdawsill/forwarding/_errors.py
@@ -38,6 +38,6 @@
     """Too few shards answered for the coverage that the route requires."""
 
 
-@register_error(2508, status=403)
+@register_error(2508, status=503)
 class Condemned(JackdawsillError):
     """The request crashed several replicas and is not sent to any other."""
--- a/jackdawsill/forwarding/_events.py
+++ b/jackdawsill/forwarding/_events.py
@@ -94,6 +94,22 @@
     revision: int
 
 
+@dataclass(slots=True, frozen=True)
+class ReplicaRefused(Event):
+    """A replica refused a connection that was to be opened ahead."""
+
+    replica: str
+
+
+@dataclass(slots=True, frozen=True)
+class CrashConfirmed(Event):
+    """A replica crashed while it ran a request; known here or told by a peer."""
+
+    fingerprint: int
+    request_id: str
+    replica: str
+
+
 @dataclass(slots=True, frozen=True)
 class StoreLost(Event):
     """The platform's store no longer answers this host."""
--- a/jackdawsill/forwarding/_outcomes.py
+++ b/jackdawsill/forwarding/_outcomes.py
@@ -7,6 +7,7 @@
     FailureKind,
     HostState,
     LogEvent,
+    Raise,
     TimerFired,
     handles,
 )
@@ -23,6 +24,8 @@
     AttemptAnswered,
     AttemptFailed,
     CallAbandoned,
+    CrashConfirmed,
+    ReplicaRefused,
 )
 from jackdawsill.forwarding._finish import (
     abandon,
@@ -121,26 +124,56 @@
         return [DropReplica(replica.entry.name)]
     effects: list[Effect] = []
     if kind is FailureKind.CRASH:
-        replica.on_lost(attempt.part.call.fingerprint, now)
+        call = attempt.part.call
+        request_id = call.req.request_id.decode("latin-1")
+        replica.on_lost(call.fingerprint, request_id, now)
     elif kind is FailureKind.CONNECT:
-        effects += _condemn(state, replica, now)
+        effects += _confirm_crashes(replica, now)
     backoff_s = replica.on_failure(now, at_once=kind is FailureKind.CONNECT)
     if not backoff_s:
         return effects
     return [*effects, ejection_line(replica, str(kind), backoff_s)]
 
 
-def _condemn(state: HostState, replica: LiveReplica, now: float) -> list[Effect]:
-    """Count a crashed replica against the requests that it lost."""
-    evidence = state.part(CrashEvidence)
+def _confirm_crashes(replica: LiveReplica, now: float) -> list[Effect]:
+    """Count a replica that refuses connections against the requests that it lost."""
     name = replica.entry.name
     return [
-        LogEvent(log_events.REQUEST_CONDEMNED, {"fingerprint": key, "replica": name})
-        for key in replica.take_suspects(now)
-        if evidence.on_crash(key, name, now)
+        Raise(CrashConfirmed(key, request_id, name))
+        for key, request_id in replica.take_suspects(now)
     ]
 
 
+@handles(ReplicaRefused, needs=ReplicaRegistry)
+def on_refused(state: HostState, event: ReplicaRefused, now: float) -> list[Effect]:
+    """Learn from a connection that could not be opened ahead."""
+    replica = state.part(ReplicaRegistry).replicas_.get(event.replica)
+    if replica is None:
+        return []
+    effects = _confirm_crashes(replica, now)
+    backoff_s = replica.on_failure(now, at_once=True)
+    if backoff_s:
+        effects.append(ejection_line(replica, str(FailureKind.CONNECT), backoff_s))
+    return effects
+
+
+@handles(CrashConfirmed, needs=CrashEvidence)
+def on_crash(state: HostState, event: CrashConfirmed, now: float) -> list[Effect]:
+    """Record a crash against the request that ran."""
+    evidence = state.part(CrashEvidence)
+    key = event.fingerprint
+    was_condemned = evidence.is_condemned(key, now)
+    evidence.on_crash(key, event.request_id, event.replica, now)
+    if was_condemned or not evidence.is_condemned(key, now):
+        return []
+    fields = {
+        "fingerprint": key,
+        "request": event.request_id,
+        "replica": event.replica,
+    }
+    return [LogEvent(log_events.REQUEST_CONDEMNED, fields)]
+
+
 def _after_failure(
     state: HostState, part: Part, now: float, *, not_run: bool
 ) -> list[Effect]:
--- a/jackdawsill/forwarding/_replica.py
+++ b/jackdawsill/forwarding/_replica.py
@@ -56,8 +56,9 @@
     backoff_s: float = EJECT_MIN_S
     ejected_until: float = 0.0
     lapsed_at: float | None = None  # its entry expired while the store was away
-    # Requests whose connections were lost since the last answer: (time, fingerprint).
-    lost: list[tuple[float, int]] = field(default_factory=list)
+    # Requests whose connections were lost since the last answer: time, fingerprint
+    # and request id.
+    lost: list[tuple[float, int, str]] = field(default_factory=list)
 
     def is_ejected(self, now: float) -> bool:
         """Tell whether new work avoids the replica; one attempt at a time probes."""
@@ -108,14 +109,18 @@
             return 0.0
         return self.on_failure(now)
 
-    def on_lost(self, fingerprint: int, now: float) -> None:
+    def on_lost(self, fingerprint: int, request_id: str, now: float) -> None:
         """Remember a request whose connection was lost while it may have run."""
         if len(self.lost) < MAX_LOST_KEPT:
-            self.lost.append((now, fingerprint))
+            self.lost.append((now, fingerprint, request_id))
 
-    def take_suspects(self, now: float) -> list[int]:
+    def take_suspects(self, now: float) -> list[tuple[int, str]]:
         """Return the requests lost just before the replica refused a connection."""
-        suspects = [key for at, key in self.lost if now - at < CRASH_CONFIRM_S]
+        suspects = [
+            (key, request_id)
+            for at, key, request_id in self.lost
+            if now - at < CRASH_CONFIRM_S
+        ]
         self.lost.clear()
         return suspects
 
--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -27,6 +27,7 @@
     DropReplica,
     PassAnswer,
     RefuseCall,
+    ReplicaRefused,
     ReplicaRegistry,
     RouteCatalog,
     SendAttempt,
@@ -94,7 +95,11 @@
             boot_clock,
         )
         self.replicas = ReplicaClient(
-            dialect, self.driver.feed, self._on_connected, boot_clock
+            dialect,
+            self.driver.feed,
+            self._on_connected,
+            lambda replica: self.driver.feed(ReplicaRefused(replica)),
+            boot_clock,
         )
         self.operators = OperatorPort(self.state, self._status, boot_clock)
         self.links = LinkSet(self.driver)
--- a/jackdawsill/http1/_client.py
+++ b/jackdawsill/http1/_client.py
@@ -277,6 +277,8 @@
         self.n_opening -= 1
         if conn is None:
             # Whatever waits has not been sent to this replica.
+            if not self.waiting:
+                self.client.on_refused(self.replica)
             failed, self.waiting = self.waiting, deque()
             for send in failed:
                 end = AttemptFailed(send.attempt_id, FailureKind.CONNECT, detail)
@@ -340,11 +342,13 @@
         dialect: BaseDialect,
         on_end: OnEnd,
         on_connected: OnConnected,
+        on_refused: Callable[[str], None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.dialect = dialect
         self.on_end = on_end
         self.on_connected = on_connected
+        self.on_refused = on_refused
         self.clock = clock
         self.pools_: dict[tuple[str, str], _Pool] = {}
         self.sent_: dict[int, _Connection] = {}
--- a/jackdawsill/relaying/__init__.py
+++ b/jackdawsill/relaying/__init__.py
@@ -4,6 +4,7 @@
 from jackdawsill.relaying._effects import FollowStore
 from jackdawsill.relaying._feed import NewsFeed, Upstream
 from jackdawsill.relaying._messages import (
+    CrashNotice,
     NewsBeat,
     NewsChange,
     NewsSnapshot,
@@ -11,6 +12,7 @@
 )
 
 __all__ = [
+    "CrashNotice",
     "FollowStore",
     "NewsBeat",
     "NewsChange",
--- a/jackdawsill/relaying/_handlers.py
+++ b/jackdawsill/relaying/_handlers.py
@@ -26,6 +26,7 @@
     StoreConfirmed,
 )
 from jackdawsill.relaying import _log_events as log_events
+from jackdawsill.relaying._crashes import on_notice
 from jackdawsill.relaying._effects import FollowStore
 from jackdawsill.relaying._feed import (
     BEAT_S,
@@ -36,6 +37,7 @@
     Upstream,
 )
 from jackdawsill.relaying._messages import (
+    CrashNotice,
     NewsBeat,
     NewsChange,
     NewsSnapshot,
@@ -103,6 +105,8 @@
         if known == message.revision and version == message.version:
             return [SendPeer(event.link_id, _beat(state, known, now))]
         return [SendPeer(event.link_id, _snapshot(state, now))]
+    if isinstance(message, CrashNotice):
+        return on_notice(state, message)
     if event.link_id in feed.partners_:
         if isinstance(message, NewsBeat):
             feed.counts_[feed.partners_[event.link_id]] = message.n_subscribers
--- a/jackdawsill/relaying/_messages.py
+++ b/jackdawsill/relaying/_messages.py
@@ -53,3 +53,13 @@
     age_s: float
     n_subscribers: int = 0
     n_hosts: int = 0  # of the fleet, 0 if the sender cannot tell
+
+
+@register_message("CrashNotice")
+@dataclass(slots=True, frozen=True)
+class CrashNotice(PeerMessage):
+    """A replica crashed while it ran a request."""
+
+    fingerprint: int
+    request_id: str
+    replica: str
--- a/jackdawsill/relaying/tests/_fleet.py
+++ b/jackdawsill/relaying/tests/_fleet.py
@@ -16,6 +16,7 @@
 )
 from jackdawsill.forwarding import (
     STORE,
+    CrashEvidence,
     FleetSize,
     ReplicaEntry,
     ReplicaRegistry,
@@ -78,6 +79,7 @@
             RouteCatalog(),
             ReplicaRegistry("near", {}),
             FleetSize(),
+            CrashEvidence(),
             self.feed,
         ):
             self.state.attach(part)
--- a/jackdawsill/relaying/tests/test_relaying.py
+++ b/jackdawsill/relaying/tests/test_relaying.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from jackdawsill.forwarding import FleetSize, StoreLost, StoreRegained
+from jackdawsill.forwarding import (
+    CrashConfirmed,
+    CrashEvidence,
+    FleetSize,
+    StoreLost,
+    StoreRegained,
+)
 from jackdawsill.relaying.tests._fleet import Fleet
 
 # Time in which a change of routes or replicas must be in force.
@@ -42,6 +48,16 @@
             sharing = host.state.part(FleetSize).sharing(self.fleet.now)
             self.assertAlmostEqual(sharing, 1.25 * 12)
 
+    def test_crashes_reach_every_host(self):
+        """Guards against a harmful request that each host must learn of by itself."""
+        for number, address in enumerate(("h5", "h7", "h9")):
+            crash = CrashConfirmed(42, f"p{number}", f"r{number}")
+            self.fleet.hosts[address].handle(crash)
+            self.fleet.deliver()
+        for host in self.fleet.hosts.values():
+            evidence = host.state.part(CrashEvidence)
+            self.assertTrue(evidence.is_condemned(42, self.fleet.now))
+
 
 class TestFaults(unittest.TestCase):
     """Every host that reaches a store or a relay knows changes in time."""
