--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: setup test demo matrix bench slopes format catalogue
+.PHONY: setup test demo matrix bench slopes soak format catalogue
 
 $(STAMP): requirements/lock.txt pyproject.toml
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -31,6 +31,9 @@
 slopes: $(STAMP)
 	$(PY) -m benchmarks.slopes
 
+soak: $(STAMP)
+	cd platform && ../$(PY) -m jackdawsill_platform.soak $(SOAK_ARGS)
+
 catalogue: $(STAMP)
 	$(PY) -m tools.catalogue
 	$(PY) -m tools.api_list
