Give a connection 0.25 s to open

Cause: an attempt on a silent replica waited 1 s for its connection, so a part whose first two replicas were silent never reached the third one in time.

Change: the limit is 0.25 s, ten round trips between the most distant regions.

--- a/jackdawsill/http1/_client.py
+++ b/jackdawsill/http1/_client.py
@@ -19,7 +19,7 @@
 from jackdawsill.http1._dialect import AttemptFault, BaseDialect
 from jackdawsill.http1._sockets import keep_alive_probes
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.25
 # Idle connections are closed this much before the replica would, so that no request
 # crosses its close.
 IDLE_MARGIN_S = 1.0
