Give fan-outs of hosts with a narrow link to hosts with a wide one

Cause: on hosts with 7 Mbit/s the 36 parts of a fan-out take 55 ms of the link, and their hedges more; 97 of 109 hosts have such a link.

--- a/jackdawsill/forwarding/__init__.py
+++ b/jackdawsill/forwarding/__init__.py
@@ -11,6 +11,7 @@
 from jackdawsill.forwarding._calls import CallTable
 from jackdawsill.forwarding._catalog import RouteCatalog
 from jackdawsill.forwarding._crashes import CrashEvidence
+from jackdawsill.forwarding._delegates import Delegates, Helper
 from jackdawsill.forwarding._effects import (
     AbortAttempt,
     CheckStore,
@@ -74,6 +75,7 @@
     "CloseCallers",
     "CrashConfirmed",
     "CrashEvidence",
+    "Delegates",
     "DropIdleConnections",
     "DropReplica",
     "FleetSize",
@@ -83,6 +85,7 @@
     "GatewayLife",
     "GatewayPhase",
     "Headers",
+    "Helper",
     "LiveReplica",
     "MergedAnswer",
     "PassAnswer",
--- a/jackdawsill/forwarding/_admit.py
+++ b/jackdawsill/forwarding/_admit.py
@@ -7,6 +7,7 @@
 from jackdawsill.forwarding._calls import Call, CallTable, Part
 from jackdawsill.forwarding._catalog import RouteCatalog
 from jackdawsill.forwarding._crashes import CrashEvidence, fingerprint
+from jackdawsill.forwarding._delegates import Delegates, send_to_delegate
 from jackdawsill.forwarding._dispatch import call_timer, send_first
 from jackdawsill.forwarding._effects import RefuseCall
 from jackdawsill.forwarding._events import CallArrived
@@ -43,6 +44,16 @@
     if refusal is not None:
         return refuse(state, call, now, refusal)
     state.part(CallTable).calls_[call.call_id] = call
+    if not event.is_delegated:
+        helper = state.part(Delegates).choose(route, state.failure_domain, now)
+        if helper is not None:
+            sent = send_to_delegate(state, call, helper, now)
+            return [*sent, call_timer(call, now)]
+    return run_here(state, call, now)
+
+
+def run_here(state: HostState, call: Call, now: float) -> list[Effect]:
+    """Send the first attempts of a call from this host."""
     effects: list[Effect] = []
     _leave_out_dead(state, call, now)
     for part in call.parts:
@@ -54,6 +65,13 @@
     return [*effects, call_timer(call, now)]
 
 
+def take_back(state: HostState, call: Call, now: float) -> list[Effect]:
+    """Run a call here that its delegate has not run."""
+    call.is_delegated = False
+    call.parts = [Part(call, service) for service in call.route.shards]
+    return run_here(state, call, now)
+
+
 def _new_call(
     state: HostState,
     call_id: int,
--- a/jackdawsill/forwarding/_calls.py
+++ b/jackdawsill/forwarding/_calls.py
@@ -65,6 +65,7 @@
     n_withheld: int = 0  # hedges that the budget did not allow
     n_retries: int = 0
     replied: bool = False
+    is_delegated: bool = False  # another host runs it
 
     @property
     def may_have_run(self) -> bool:
--- a/jackdawsill/forwarding/_dispatch.py
+++ b/jackdawsill/forwarding/_dispatch.py
@@ -3,6 +3,7 @@
 from jackdawsill.core import Count, Effect, HostState, SetTimer
 from jackdawsill.forwarding._budget import RetryBudget
 from jackdawsill.forwarding._calls import Attempt, Call, CallTable, Part
+from jackdawsill.forwarding._delegates import LATE_S
 from jackdawsill.forwarding._effects import SendAttempt
 from jackdawsill.forwarding._model import ForwardRoute
 from jackdawsill.forwarding._policy import (
@@ -89,6 +90,8 @@
     at_s = call.deadline_at
     if now < call.answer_by < at_s:
         at_s = call.answer_by
+    if call.is_delegated and now < call.answer_by + LATE_S < call.deadline_at:
+        at_s = call.answer_by + LATE_S
     for part in call.parts:
         if part.hedge_at is not None and part.hedge_at < at_s:
             at_s = part.hedge_at
--- a/jackdawsill/forwarding/_effects.py
+++ b/jackdawsill/forwarding/_effects.py
@@ -24,6 +24,7 @@
     deadline_at: float
     idempotent: bool
     n_connections_max: int  # that this host may hold to the replica
+    is_delegated: bool = False  # to another host, whose answer is passed on as it is
 
 
 @dataclass(slots=True, frozen=True)
--- a/jackdawsill/forwarding/_events.py
+++ b/jackdawsill/forwarding/_events.py
@@ -21,6 +21,7 @@
 
     call_id: int
     req: ForwardRequest
+    is_delegated: bool = False  # by another host; it is not given away again
 
 
 @dataclass(slots=True, frozen=True)
--- a/jackdawsill/forwarding/_finish.py
+++ b/jackdawsill/forwarding/_finish.py
@@ -14,7 +14,7 @@
 from jackdawsill.exceptions import JackdawsillError, Outcome
 from jackdawsill.forwarding import _errors as errors
 from jackdawsill.forwarding import _log_events as log_events
-from jackdawsill.forwarding._calls import Call, CallTable, Part
+from jackdawsill.forwarding._calls import Attempt, Call, CallTable, Part
 from jackdawsill.forwarding._effects import (
     AbortAttempt,
     PassAnswer,
@@ -55,7 +55,7 @@
     """Reply to a call if it is time to; return no effect if it goes on."""
     if call.replied:
         return []
-    if call.route.is_fanout:
+    if call.route.is_fanout and not call.is_delegated:
         return _settle_fanout(state, call, now)
     return _settle_single(state, call, now)
 
@@ -111,7 +111,7 @@
         message = f"no replica took the call: {reason}"
         retry_ms = int(1000 * RETRY_FULL_S)
         return errors.NoReplica(message, retry_after_ms=retry_ms)
-    if call.route.is_fanout:
+    if call.route.is_fanout and not call.is_delegated:
         n_parts = len(call.parts)
         return errors.CoverageTooLow(
             f"{call.n_answered} of {n_parts} parts, {n_parts_needed(call)} needed: "
@@ -143,7 +143,11 @@
 
 def abandon(state: HostState, call: Call, now: float) -> list[Effect]:
     """End a call whose caller has left; nothing more is sent for it."""
-    return _finish(state, call, now, None, "caller left")
+    effects = _finish(state, call, now, None, "caller left")
+    if call.is_delegated:
+        # The delegate lets the attempts end by themselves for a moment.
+        effects += close_lingering(state, call, now)
+    return effects
 
 
 def _finish(
@@ -175,10 +179,8 @@
     for part in call.parts:
         for attempt_id, attempt in list(part.open.items()):
             attempt.replica.in_flight -= 1
-            elapsed_s = now - attempt.sent_at - attempt.distance_s
-            backoff_s = attempt.replica.on_abort(elapsed_s, attempt.usual_s, now)
-            if backoff_s:
-                effects.append(ejection_line(attempt.replica, "silent", backoff_s))
+            if not call.is_delegated:
+                effects += _judge_silence(attempt, now)
             table.attempts_.pop(attempt_id, None)
             effects.append(AbortAttempt(attempt_id))
         part.open.clear()
@@ -186,6 +188,15 @@
     return effects
 
 
+def _judge_silence(attempt: Attempt, now: float) -> list[Effect]:
+    """Learn from an attempt that is aborted without an answer."""
+    elapsed_s = now - attempt.sent_at - attempt.distance_s
+    backoff_s = attempt.replica.on_abort(elapsed_s, attempt.usual_s, now)
+    if not backoff_s:
+        return []
+    return [ejection_line(attempt.replica, "silent", backoff_s)]
+
+
 def ejection_line(replica: LiveReplica, kind: str, backoff_s: float) -> LogEvent:
     """Return the log event of a replica that is avoided from now on."""
     fields = {
@@ -207,6 +218,7 @@
         "elapsed_ms": round(elapsed_s * 1000, 1),
         "left_ms": round((call.deadline_at - call.arrived_at - elapsed_s) * 1000),
         "parts": len(call.parts),
+        "delegate": next(iter(call.parts[0].tried)) if call.is_delegated else None,
         "answered": call.n_answered,
         "hedge_ms": round(call.hedge_delay_s * 1000, 1),
         "hedges": call.n_hedges,
--- a/jackdawsill/forwarding/_outcomes.py
+++ b/jackdawsill/forwarding/_outcomes.py
@@ -12,8 +12,10 @@
     handles,
 )
 from jackdawsill.forwarding import _log_events as log_events
+from jackdawsill.forwarding._admit import take_back
 from jackdawsill.forwarding._calls import Attempt, CallTable, Part
 from jackdawsill.forwarding._crashes import CrashEvidence
+from jackdawsill.forwarding._delegates import LATE_S, Delegates
 from jackdawsill.forwarding._dispatch import (
     call_timer,
     send_hedge,
@@ -33,9 +35,12 @@
     ejection_line,
     settle,
 )
+from jackdawsill.forwarding._model import ReplicaAnswer
 from jackdawsill.forwarding._registry import ReplicaRegistry
 from jackdawsill.forwarding._replica import LiveReplica
 
+# Size of the head of a replica's answer, in bytes.
+HEAD_BYTES = 200
 # Failures that say nothing against the replica.
 _HARMLESS_KINDS = frozenset({FailureKind.CANCELLED})
 # Refusals without a run: the replica is full, or about to leave.
@@ -67,10 +72,13 @@
         return []
     part, call, answer = attempt.part, attempt.part.call, event.answer
     part.n_maybe_run += 1
+    if call.is_delegated:
+        return _on_delegated_answer(state, attempt, answer, now)
     took_s = max(0.0, now - attempt.sent_at - attempt.distance_s)
     if answer.succeeded or answer.status < 500:
         attempt.replica.on_answer(took_s / attempt.usual_s, now)
         state.part(CallTable).window(call.route).add(took_s)
+        state.part(Delegates).on_part(call.route, len(answer.body) + HEAD_BYTES)
         state.part(CrashEvidence).on_success(call.fingerprint)
     else:
         attempt.replica.on_failure(now)
@@ -86,6 +94,18 @@
     return [*effects, *_after_failure(state, part, now, not_run=False)]
 
 
+def _on_delegated_answer(
+    state: HostState, attempt: Attempt, answer: ReplicaAnswer, now: float
+) -> list[Effect]:
+    """Pass on what the delegate says, refusals included."""
+    attempt.replica.n_failures = 0
+    attempt.replica.ejected_until = 0.0
+    if attempt.part.call.replied:
+        return []
+    attempt.part.answer = answer
+    return _go_on(state, attempt.part, now)
+
+
 @handles(AttemptFailed, needs=CallTable)
 def on_failure(state: HostState, event: AttemptFailed, now: float) -> list[Effect]:
     """Learn from a failed attempt, and send the part to another replica."""
@@ -104,6 +124,8 @@
     effects.append(_attempt_line(attempt, f"{kind} {event.detail}".strip(), now))
     if call.replied or part.is_settled:
         return effects
+    if call.is_delegated and not_run:
+        return [*effects, *take_back(state, call, now)]
     part.outcome = str(kind)
     return [*effects, *_after_failure(state, part, now, not_run=not_run)]
 
@@ -179,7 +201,9 @@
 ) -> list[Effect]:
     """Retry the part, wait for its other attempt, or give it up."""
     effects: list[Effect] = []
-    if not_run or part.call.route.idempotent:
+    may_repeat = not_run or part.call.route.idempotent
+    # A delegate may have used up the replicas that the route allows.
+    if may_repeat and not part.call.is_delegated:
         sent = send_retry(state, part, now)
         if sent is not None:
             effects = sent
@@ -210,6 +234,9 @@
     effects = settle(state, call, now)
     if effects:
         return effects
+    if call.is_delegated and now >= call.answer_by + LATE_S:
+        for attempt in call.parts[0].open.values():
+            attempt.replica.on_failure(now, at_once=True)
     for part in call.parts:
         if part.hedge_at is not None and now >= part.hedge_at:
             effects += send_hedge(state, part, now)
--- a/jackdawsill/forwarding/tests/_host.py
+++ b/jackdawsill/forwarding/tests/_host.py
@@ -18,6 +18,7 @@
     CallArrived,
     CallTable,
     CrashEvidence,
+    Delegates,
     FleetSize,
     ForwardingPolicy,
     ForwardRequest,
@@ -120,6 +121,7 @@
             CrashEvidence(),
             CallTable(),
             GatewayLife(),
+            Delegates(1000.0, None),
         ):
             self.state.attach(part)
         self.timers: dict[str, float] = {}
--- /dev/null
+++ b/jackdawsill/forwarding/tests/test_delegates.py
@@ -0,0 +1,88 @@
+"""Fan-outs that a host with a narrow link gives to one with a wide link."""
+
+import unittest
+
+from jackdawsill.core import FailureKind
+from jackdawsill.forwarding import (
+    AttemptAnswered,
+    CallArrived,
+    Delegates,
+    Helper,
+    PassAnswer,
+    ReplicaAnswer,
+)
+from jackdawsill.forwarding.tests._host import (
+    GatewayModel,
+    fanout_route,
+    request,
+    single_route,
+)
+
+WIDE = Helper("wide", "10.0.0.9:7741", "near")
+FAR = Helper("elsewhere", "10.3.0.9:7741", "far")
+
+
+class TestDelegates(unittest.TestCase):
+    """The delegate's answer is the answer; a call never runs at both hosts."""
+
+    def setUp(self):
+        self.host = GatewayModel(fanout_route(n_shards=36), single_route())
+        delegates = Delegates(7.0, None)
+        delegates.set_helpers((FAR, WIDE), self.host.now)
+        self.host.state.attach(delegates)
+
+    def test_answer_is_passed_on(self):
+        """Guards against a fan-out over the narrow link, and a changed answer."""
+        (send,) = self.host.call(b"/sweep/1")
+        self.assertTrue(send.is_delegated)
+        self.assertEqual(send.address, WIDE.address)
+        answer = ReplicaAnswer(200, ((b"X", b"1"),), b"merged")
+        self.host.feed(AttemptAnswered(send.attempt_id, answer))
+        (reply,) = self.host.replies
+        self.assertIsInstance(reply, PassAnswer)
+        self.assertEqual(reply.answer.body, b"merged")
+
+    def test_refusal_of_the_delegate_is_passed_on(self):
+        """Guards against running a call here that the delegate gave up."""
+        (send,) = self.host.call(b"/sweep/1")
+        self.host.feed(AttemptAnswered(send.attempt_id, ReplicaAnswer(502)))
+        self.assertEqual(self.host.replies[0].answer.status, 502)
+        self.assertEqual(len(self.host.sent), 1)
+
+    def test_taken_back_only_if_it_was_not_run(self):
+        """Guards against more replicas for a call than its route allows."""
+        (send,) = self.host.call(b"/sweep/1", call_id=1)
+        self.host.fail(send, FailureKind.CONNECT)
+        self.assertEqual(len(self.host.sent), 1 + 36)
+        self.host.advance(10.0)
+        n_before = len(self.host.sent)
+        (send,) = self.host.call(b"/sweep/1", call_id=2)
+        self.host.fail(send, FailureKind.CRASH)
+        self.assertEqual(len(self.host.sent), n_before + 1)
+        self.assertEqual(self.host.replies[-1].error.status, 502)
+
+    def test_not_given_away_again(self):
+        """Guards against calls that go round between hosts."""
+        self.host.feed(CallArrived(1, request(b"/sweep/1"), is_delegated=True))
+        self.assertEqual(len(self.host.sent), 36)
+
+    def test_silent_delegate_is_avoided(self):
+        """Guards against giving each call to a host that does not answer."""
+        self.host.call(b"/sweep/1", call_id=1)
+        self.host.advance(0.3)
+        self.assertEqual(len(self.host.call(b"/sweep/1", call_id=2)), 36)
+
+    def test_leaving_caller_stops_the_delegate(self):
+        """Guards against a delegate that works for nobody."""
+        (send,) = self.host.call(b"/sweep/1")
+        self.host.leave()
+        self.assertEqual(self.host.aborted, [send.attempt_id])
+
+    def test_only_what_the_link_is_too_narrow_for(self):
+        """Guards against a detour of calls that gain nothing from it."""
+        (send,) = self.host.call(b"/fetch/1")
+        self.assertFalse(send.is_delegated)
+        wide = Delegates(100.0, WIDE)
+        wide.set_helpers((WIDE,), self.host.now)
+        self.host.state.attach(wide)
+        self.assertEqual(len(self.host.call(b"/sweep/1", call_id=2)), 36)
--- a/jackdawsill/gateway/_build.py
+++ b/jackdawsill/gateway/_build.py
@@ -6,9 +6,11 @@
 from jackdawsill.forwarding import (
     CallTable,
     CrashEvidence,
+    Delegates,
     FleetSize,
     ForwardingPolicy,
     GatewayLife,
+    Helper,
     ReplicaRegistry,
     RetryBudget,
     RouteCatalog,
@@ -16,6 +18,16 @@
 )
 from jackdawsill.gateway._settings import GatewaySettings
 from jackdawsill.relaying import NewsFeed
+from jackdawsill.runtime import join_address, split_address
+
+
+def inner_address(cfg: GatewaySettings) -> str:
+    """Return the address for calls of other hosts, or nothing without a free port."""
+    ports = cfg.ports
+    if ports.inner_last <= ports.inner_first:
+        return ""
+    host, _ = split_address(ports.callers)
+    return join_address(host, ports.inner_first + 1)
 
 
 def build_gateway_state(cfg: GatewaySettings, rng: random.Random) -> HostState:
@@ -39,6 +51,9 @@
     state.attach(CallTable())
     state.attach(GatewayLife())
     state.attach(WarmUp())
+    address = inner_address(cfg)
+    offer = Helper(host.name, address, host.failure_domain) if address else None
+    state.attach(Delegates(host.link_mbps, offer))
     state.attach(
         NewsFeed(
             cfg.ports.peers,
--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -25,6 +25,7 @@
     CloseCallers,
     DropIdleConnections,
     DropReplica,
+    Headers,
     PassAnswer,
     RefuseCall,
     ReplicaRefused,
@@ -35,7 +36,7 @@
     WarmReplicas,
 )
 from jackdawsill.gateway import _log_events as log_events
-from jackdawsill.gateway._build import build_gateway_state
+from jackdawsill.gateway._build import build_gateway_state, inner_address
 from jackdawsill.gateway._follower import StoreFollower
 from jackdawsill.gateway._operator import OperatorPort
 from jackdawsill.gateway._settings import GatewaySettings
@@ -43,6 +44,7 @@
 from jackdawsill.http1 import (
     BaseDialect,
     CallServer,
+    OnRequest,
     RawRequest,
     ReplicaClient,
     end_to_end,
@@ -85,15 +87,9 @@
         self.state: HostState = build_gateway_state(cfg, self.rng)
         self.driver = Driver(self.state, boot_clock)
         self.driver.on_fault = self._on_fault
-        catalog = self.state.part(RouteCatalog)
-        self.callers = CallServer(
-            self._on_request,
-            self._on_gone,
-            lambda: catalog.limits,
-            self.state.next_id,
-            self._on_reject,
-            boot_clock,
-        )
+        self.callers = self._call_server(self._on_request)
+        # Fan-outs that other hosts give to this one.
+        self.inner = self._call_server(self._on_delegated)
         self.replicas = ReplicaClient(
             dialect,
             self.driver.feed,
@@ -121,6 +117,9 @@
         host, port = split_address(ports.callers)
         bound_port = await self.callers.start(host, port)
         self.callers_address = join_address(host, bound_port)
+        inner = inner_address(self.cfg)
+        if inner:
+            await self.inner.start(*split_address(inner))
         self.replicas.start()
         # After the peers' port, so that hosts that start together find each other.
         self.driver.start()
@@ -150,6 +149,7 @@
         self.follower.stop()
         self.links.abort()
         self.callers.stop()
+        self.inner.stop()
         self.replicas.stop()
         self.operators.stop()
         self.driver.log(log_events.GATEWAY_STOPPED)
@@ -179,7 +179,31 @@
             }
         )
 
-    def _on_request(self, call_id: int, raw: RawRequest) -> None:
+    def _call_server(self, on_request: OnRequest) -> CallServer:
+        catalog = self.state.part(RouteCatalog)
+        return CallServer(
+            on_request,
+            self._on_gone,
+            lambda: catalog.limits,
+            self.state.next_id,
+            self._on_reject,
+            boot_clock,
+        )
+
+    def _reply(
+        self, call_id: int, status: int, headers: Headers = (), body: bytes = b""
+    ) -> None:
+        """Reply on the server that read the request."""
+        server = self.inner if call_id in self.inner.open_ else self.callers
+        server.reply(call_id, status, headers, body)
+
+    def _on_delegated(self, call_id: int, raw: RawRequest) -> None:
+        """Run a request that another host gave to this one."""
+        self._on_request(call_id, raw, is_delegated=True)
+
+    def _on_request(
+        self, call_id: int, raw: RawRequest, *, is_delegated: bool = False
+    ) -> None:
         """Turn a request into an event, or refuse it as not valid."""
         body = b"".join(raw.body)
         try:
@@ -188,9 +212,9 @@
             )
         except ValueError as exc:
             self.driver.log(log_events.BAD_CALL, detail=str(exc)[:200])
-            self.callers.reply(call_id, 400)
+            self._reply(call_id, 400)
             return
-        self.driver.feed(CallArrived(call_id, req))
+        self.driver.feed(CallArrived(call_id, req, is_delegated))
 
     def _on_gone(self, call_id: int) -> None:
         self.driver.feed(CallAbandoned(call_id))
@@ -204,16 +228,16 @@
     def _on_fault(self, event: Event, error: InternalFault) -> None:
         """Answer a call whose handler failed; an attempt of it may be under way."""
         if isinstance(event, CallArrived):
-            self.callers.reply(event.call_id, 500)
+            self._reply(event.call_id, 500)
 
     def _pass_answer(self, effect: PassAnswer) -> None:
         answer = effect.answer
         headers = end_to_end(answer.headers)
-        self.callers.reply(effect.call_id, answer.status, headers, answer.body)
+        self._reply(effect.call_id, answer.status, headers, answer.body)
 
     def _send_merged(self, effect: SendMerged) -> None:
         headers = self.dialect.merged_headers(effect.answer)
-        self.callers.reply(effect.call_id, 200, headers, effect.answer.body)
+        self._reply(effect.call_id, 200, headers, effect.answer.body)
 
     def _refuse(self, effect: RefuseCall) -> None:
         error: JackdawsillError = effect.error
@@ -222,10 +246,11 @@
             seconds = f"{error.retry_after_ms / 1000:.3f}".encode()
             headers = ((b"Retry-After", seconds),)
         text = f"{error}\n".encode()
-        self.callers.reply(effect.call_id, error.status, headers, text)
+        self._reply(effect.call_id, error.status, headers, text)
 
     def _close_callers(self, effect: CloseCallers) -> None:
         self.callers.close_callers(idle_now=effect.idle_now)
+        self.inner.close_callers(idle_now=effect.idle_now)
 
     def _status(self) -> dict[str, object]:
         """Return the process's own part of the status."""
--- a/jackdawsill/gateway/_settings.py
+++ b/jackdawsill/gateway/_settings.py
@@ -31,6 +31,7 @@
     failure_domain: Name
     grace_s: Seconds
     settle_s: Seconds
+    link_mbps: Annotated[float, msgspec.Meta(gt=0)]
 
 
 @dataclass(slots=True, frozen=True)
--- a/jackdawsill/http1/__init__.py
+++ b/jackdawsill/http1/__init__.py
@@ -3,7 +3,7 @@
 from jackdawsill.http1._client import ReplicaClient, encode_request
 from jackdawsill.http1._dialect import AttemptFault, BaseDialect, end_to_end
 from jackdawsill.http1._exchange import Exchange, ExchangeFailed
-from jackdawsill.http1._server import CallServer, RawRequest, encode_reply
+from jackdawsill.http1._server import CallServer, OnRequest, RawRequest, encode_reply
 from jackdawsill.http1._sockets import keep_alive_probes
 
 __all__ = [
@@ -12,6 +12,7 @@
     "CallServer",
     "Exchange",
     "ExchangeFailed",
+    "OnRequest",
     "RawRequest",
     "ReplicaClient",
     "encode_reply",
--- a/jackdawsill/http1/_client.py
+++ b/jackdawsill/http1/_client.py
@@ -13,6 +13,7 @@
     AttemptAnswered,
     AttemptFailed,
     DropReplica,
+    ReplicaAnswer,
     SendAttempt,
     WarmReplicas,
 )
@@ -161,8 +162,12 @@
 
     def _finish(self, headers) -> None:
         send = self.send
-        dialect = self.pool.client.dialect
-        result = dialect.read_answer(self.status, headers, b"".join(self.body))
+        body = b"".join(self.body)
+        if send.is_delegated:
+            result = ReplicaAnswer(self.status, headers, body)
+        else:
+            dialect = self.pool.client.dialect
+            result = dialect.read_answer(self.status, headers, body)
         closes = not self.parser.should_keep_alive() or not self.framed
         # A request whose body is still being written cannot be followed by another.
         unsent = self.transport.get_write_buffer_size() > 0
--- a/jackdawsill/metrics/_registry.py
+++ b/jackdawsill/metrics/_registry.py
@@ -47,6 +47,7 @@
     ("forwarding_answers_partial", "Merged answers that lack a part.", ()),
     ("forwarding_attempts_failed", "Failed attempts of calls.", ("kind",)),
     ("forwarding_calls_abandoned", "Calls whose caller left.", ()),
+    ("forwarding_calls_delegated", "Fan-outs given to a host with a wide link.", ()),
     ("forwarding_calls_refused", "Refused calls.", ("error",)),
     ("forwarding_hedges_sent", "Second attempts for a slow part.", ()),
     ("forwarding_hedges_withheld", "Hedges that the budget did not allow.", ()),
--- a/jackdawsill/relaying/__init__.py
+++ b/jackdawsill/relaying/__init__.py
@@ -7,6 +7,7 @@
     CrashNotice,
     NewsBeat,
     NewsChange,
+    NewsHelpers,
     NewsSnapshot,
     NewsWanted,
 )
@@ -17,6 +18,7 @@
     "NewsBeat",
     "NewsChange",
     "NewsFeed",
+    "NewsHelpers",
     "NewsSnapshot",
     "NewsWanted",
     "Upstream",
--- a/jackdawsill/relaying/_feed.py
+++ b/jackdawsill/relaying/_feed.py
@@ -2,6 +2,8 @@
 
 from enum import StrEnum
 
+from jackdawsill.forwarding import Helper
+
 # A host sends a sign of life to its subscribers this often.
 BEAT_S = 0.4
 # News older than this is not relied on. The hosts that follow the store confirm it
@@ -42,10 +44,12 @@
         "confirmed_at_",
         "counts_",
         "direct_since_",
+        "has_offered_",
         "is_direct_",
         "is_first_start",
         "link_id_",
         "met_at_",
+        "offers_",
         "opened_at_",
         "opening_",
         "partners_",
@@ -82,6 +86,9 @@
         # Links of a relay to the other relays: link -> address.
         self.partners_: dict[int, str] = {}
         self.counts_: dict[str, int] = {}  # address of a relay -> its subscribers
+        # Link -> helpers that its host offers, or that a partner told of.
+        self.offers_: dict[int, tuple[Helper, ...]] = {}
+        self.has_offered_ = False
 
     @property
     def is_relay(self) -> bool:
--- a/jackdawsill/relaying/_handlers.py
+++ b/jackdawsill/relaying/_handlers.py
@@ -16,6 +16,7 @@
 )
 from jackdawsill.forwarding import (
     PEER,
+    Delegates,
     FleetSize,
     ReplicaRegistry,
     ReplicasChanged,
@@ -36,10 +37,12 @@
     NewsFeed,
     Upstream,
 )
+from jackdawsill.relaying._helpers import on_offer, own_offer, tell_helpers
 from jackdawsill.relaying._messages import (
     CrashNotice,
     NewsBeat,
     NewsChange,
+    NewsHelpers,
     NewsSnapshot,
     NewsWanted,
 )
@@ -100,13 +103,22 @@
         feed.subscribers_.add(event.link_id)
         if message.is_relay:
             feed.relay_subscribers_.add(event.link_id)
+        offered = () if message.offer is None else (message.offer,)
+        effects = on_offer(state, event.link_id, offered, now)
         known = state.part(ReplicaRegistry).revision_
         version = state.part(RouteCatalog).version
         if known == message.revision and version == message.version:
-            return [SendPeer(event.link_id, _beat(state, known, now))]
-        return [SendPeer(event.link_id, _snapshot(state, now))]
+            return [*effects, SendPeer(event.link_id, _beat(state, known, now))]
+        effects.append(SendPeer(event.link_id, _snapshot(state, now)))
+        return [*effects, *tell_helpers(state, now)]
     if isinstance(message, CrashNotice):
         return on_notice(state, message)
+    if isinstance(message, NewsHelpers):
+        if event.link_id in feed.partners_:
+            return on_offer(state, event.link_id, message.helpers, now)
+        if event.link_id == feed.link_id_:
+            state.part(Delegates).set_helpers(message.helpers, now)
+        return []
     if event.link_id in feed.partners_:
         if isinstance(message, NewsBeat):
             feed.counts_[feed.partners_[event.link_id]] = message.n_subscribers
@@ -150,7 +162,7 @@
         if known is not None and message.base > known:
             # A change was missed; the answer is a snapshot.
             version = state.part(RouteCatalog).version
-            wanted = NewsWanted(version, known, feed.is_relay)
+            wanted = NewsWanted(version, known, feed.is_relay, own_offer(state))
             return [SendPeer(link_id, wanted)]
         is_new = message.revision > (known or 0)
         # An expired entry is removed without a new revision. One that may have lapsed
@@ -190,7 +202,7 @@
         return []
     version = state.part(RouteCatalog).version
     revision = state.part(ReplicaRegistry).revision_ or 0
-    wanted = NewsWanted(version, revision, feed.is_relay)
+    wanted = NewsWanted(version, revision, feed.is_relay, own_offer(state))
     if event.link_id in feed.partners_:
         return [SendPeer(event.link_id, wanted)]
     address = feed.opening_.pop(event.link_id, None)
@@ -211,15 +223,16 @@
     feed.subscribers_.discard(event.link_id)
     feed.relay_subscribers_.discard(event.link_id)
     feed.partners_.pop(event.link_id, None)
+    lost = on_offer(state, event.link_id, (), now)
     if feed.opening_.pop(event.link_id, None) is not None:
         if not feed.opening_ and feed.upstream_ is Upstream.OPENING:
             feed.upstream_ = Upstream.NONE
-        return []
+        return lost
     if event.link_id != feed.link_id_:
-        return []
+        return lost
     feed.leave(now, feed.relay_)
     fields = {"address": event.address, "detail": event.detail}
-    return [LogEvent(log_events.RELAY_LOST, fields)]
+    return [*lost, LogEvent(log_events.RELAY_LOST, fields)]
 
 
 @handles(Tick, needs=NewsFeed)
@@ -230,6 +243,7 @@
         feed.started_at_ = now
     effects = _beats(state, now)
     effects += _upkeep(state, now)
+    effects += _offer(state, now)
     must = feed.must_follow_store(now)
     if must != feed.is_direct_:
         feed.is_direct_ = must
@@ -244,6 +258,24 @@
     return effects
 
 
+def _offer(state: HostState, now: float) -> list[Effect]:
+    """Offer to run fan-outs while the host is ready, and take the offer back."""
+    feed = state.part(NewsFeed)
+    offers = own_offer(state) is not None
+    if offers == feed.has_offered_:
+        return []
+    if feed.is_relay:
+        feed.has_offered_ = offers
+        return tell_helpers(state, now)
+    if feed.upstream_ is not Upstream.SYNCED:
+        return []
+    feed.has_offered_ = offers
+    version = state.part(RouteCatalog).version
+    revision = state.part(ReplicaRegistry).revision_ or 0
+    wanted = NewsWanted(version, revision, False, own_offer(state))
+    return [SendPeer(feed.link_id_, wanted)]
+
+
 def _beats(state: HostState, now: float) -> list[Effect]:
     feed = state.part(NewsFeed)
     revision = state.part(ReplicaRegistry).revision_
--- /dev/null
+++ b/jackdawsill/relaying/_helpers.py
@@ -0,0 +1,48 @@
+"""Relaying of the hosts that offer to run fan-outs of others."""
+
+from jackdawsill.core import Effect, HostState, SendPeer
+from jackdawsill.forwarding import Delegates, Helper
+from jackdawsill.relaying._feed import NewsFeed
+from jackdawsill.relaying._messages import NewsHelpers
+
+
+def own_offer(state: HostState) -> Helper | None:
+    """Return what this host offers now; a host that is not ready offers nothing."""
+    return state.part(Delegates).offer if state.ready_ else None
+
+
+def on_offer(
+    state: HostState, link_id: int, helpers: tuple[Helper, ...], now: float
+) -> list[Effect]:
+    """Record the helpers behind a link, and tell the others if they changed."""
+    feed = state.part(NewsFeed)
+    if feed.offers_.get(link_id, ()) == helpers:
+        return []
+    if helpers:
+        feed.offers_[link_id] = helpers
+    else:
+        feed.offers_.pop(link_id, None)
+    return tell_helpers(state, now)
+
+
+def tell_helpers(state: HostState, now: float) -> list[Effect]:
+    """Use the helpers known here, and tell subscribers and other relays of them."""
+    feed = state.part(NewsFeed)
+    own = own_offer(state)
+    near = {own} if own is not None else set()
+    for link_id, helpers in feed.offers_.items():
+        if link_id not in feed.partners_:
+            near.update(helpers)
+    known = near.union(*(feed.offers_.get(link_id, ()) for link_id in feed.partners_))
+    state.part(Delegates).set_helpers(_sorted(known), now)
+    effects: list[Effect] = []
+    for link_id in sorted(feed.subscribers_):
+        # Another relay hears only of the hosts here, so that none goes round.
+        is_relay = link_id in feed.relay_subscribers_
+        message = NewsHelpers(_sorted(near if is_relay else known))
+        effects.append(SendPeer(link_id, message))
+    return effects
+
+
+def _sorted(helpers: set[Helper]) -> tuple[Helper, ...]:
+    return tuple(sorted(helpers, key=lambda helper: helper.name))
--- a/jackdawsill/relaying/_messages.py
+++ b/jackdawsill/relaying/_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from jackdawsill.forwarding import ReplicaEntry, RouteSet
+from jackdawsill.forwarding import Helper, ReplicaEntry, RouteSet
 from jackdawsill.peers import PeerMessage, register_message
 
 
@@ -14,6 +14,7 @@
     version: int
     revision: int
     is_relay: bool = False  # the sender has subscribers of its own
+    offer: Helper | None = None  # to run fan-outs of other hosts
 
 
 @register_message("NewsSnapshot")
@@ -55,6 +56,14 @@
     n_hosts: int = 0  # of the fleet, 0 if the sender cannot tell
 
 
+@register_message("NewsHelpers")
+@dataclass(slots=True, frozen=True)
+class NewsHelpers(PeerMessage):
+    """The hosts that offer to run fan-outs of others, as the sender knows them."""
+
+    helpers: tuple[Helper, ...]
+
+
 @register_message("CrashNotice")
 @dataclass(slots=True, frozen=True)
 class CrashNotice(PeerMessage):
--- a/jackdawsill/relaying/tests/_fleet.py
+++ b/jackdawsill/relaying/tests/_fleet.py
@@ -17,7 +17,9 @@
 from jackdawsill.forwarding import (
     STORE,
     CrashEvidence,
+    Delegates,
     FleetSize,
+    Helper,
     ReplicaEntry,
     ReplicaRegistry,
     ReplicasChanged,
@@ -80,6 +82,7 @@
             ReplicaRegistry("near", {}),
             FleetSize(),
             CrashEvidence(),
+            Delegates(100.0, Helper(address, f"{address}:1", "near")),
             self.feed,
         ):
             self.state.attach(part)
--- a/jackdawsill/relaying/tests/test_relaying.py
+++ b/jackdawsill/relaying/tests/test_relaying.py
@@ -5,6 +5,7 @@
 from jackdawsill.forwarding import (
     CrashConfirmed,
     CrashEvidence,
+    Delegates,
     FleetSize,
     StoreLost,
     StoreRegained,
@@ -58,6 +59,19 @@
             evidence = host.state.part(CrashEvidence)
             self.assertTrue(evidence.is_condemned(42, self.fleet.now))
 
+    def test_helpers_reach_every_host(self):
+        """Guards against hosts that know no delegate, or one that has gone."""
+        for host in self.fleet.hosts.values():
+            host.state.ready_ = True
+        self.fleet.run(1.0)
+        names = set(self.fleet.hosts)
+        for host in self.fleet.hosts.values():
+            self.assertEqual(set(host.state.part(Delegates).helpers_), names)
+        self.fleet.hosts["h7"].state.ready_ = False
+        self.fleet.run(1.0)
+        for host in self.fleet.hosts.values():
+            self.assertNotIn("h7", host.state.part(Delegates).helpers_)
+
 
 class TestFaults(unittest.TestCase):
     """Every host that reaches a store or a relay knows changes in time."""
