--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: setup test demo matrix bench slopes soak format catalogue
+.PHONY: setup test demo matrix bench slopes soak platform-run format catalogue
 
 $(STAMP): requirements/lock.txt pyproject.toml
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -34,6 +34,9 @@
 soak: $(STAMP)
 	cd platform && ../$(PY) -m jackdawsill_platform.soak $(SOAK_ARGS)
 
+platform-run:
+	$(BENCH) run $(SITE) $(DAY) --why "$(WHY)"
+
 catalogue: $(STAMP)
 	$(PY) -m tools.catalogue
 	$(PY) -m tools.api_list
