--- a/jackdawsill/forwarding/_finish.py
+++ b/jackdawsill/forwarding/_finish.py
@@ -131,7 +131,7 @@
 def refuse(
     state: HostState, call: Call, now: float, error: JackdawsillError
 ) -> list[Effect]:
-    """Refuse a call; a claim that nothing ran withstands open attempts only."""
+    """Refuse a call; it is not called unrun while an attempt of it may run."""
     has_open = any(part.open for part in call.parts)
     if error.outcome is Outcome.NOT_RUN and (call.may_have_run or has_open):
         error = errors.AttemptsFailed(error.message)
@@ -163,8 +163,7 @@
     effects.append(Observe(CALL_SECONDS, elapsed_s, labels))
     effects.append(_call_line(call, outcome, elapsed_s))
     if any(part.open for part in call.parts):
-        # A caller that sends a request that may not run twice is told the truth
-        # with this reply, so its attempt is not stopped half way.
+        # Attempts that end by themselves keep their connections usable.
         effects.append(SetTimer(call.timer_id, now + LINGER_S))
     else:
         state.part(CallTable).calls_.pop(call.call_id, None)
--- a/jackdawsill/relaying/_handlers.py
+++ b/jackdawsill/relaying/_handlers.py
@@ -37,7 +37,12 @@
     NewsFeed,
     Upstream,
 )
-from jackdawsill.relaying._helpers import on_offer, own_offer, tell_helpers
+from jackdawsill.relaying._helpers import (
+    on_offer,
+    own_offer,
+    tell_helpers,
+    tell_subscriber,
+)
 from jackdawsill.relaying._messages import (
     CrashNotice,
     NewsBeat,
@@ -103,14 +108,16 @@
         feed.subscribers_.add(event.link_id)
         if message.is_relay:
             feed.relay_subscribers_.add(event.link_id)
-        offered = () if message.offer is None else (message.offer,)
+        # Relays tell each other of their helpers, their own offers included.
+        is_direct = message.offer is not None and not message.is_relay
+        offered = (message.offer,) if is_direct else ()
         effects = on_offer(state, event.link_id, offered, now)
         known = state.part(ReplicaRegistry).revision_
         version = state.part(RouteCatalog).version
         if known == message.revision and version == message.version:
             return [*effects, SendPeer(event.link_id, _beat(state, known, now))]
         effects.append(SendPeer(event.link_id, _snapshot(state, now)))
-        return [*effects, *tell_helpers(state, now)]
+        return [*effects, tell_subscriber(state, event.link_id)]
     if isinstance(message, CrashNotice):
         return on_notice(state, message)
     if isinstance(message, NewsHelpers):
@@ -153,7 +160,8 @@
     if isinstance(message, NewsSnapshot):
         if message.routes is not None:
             effects.append(Raise(RoutesRead(message.routes, PEER)))
-        if known is None or message.revision > known:
+        # A sender that has read nothing yet has revision 0.
+        if message.revision > (known or 0):
             entries = message.entries
             effects.append(Raise(ReplicasListed(entries, message.revision, PEER)))
     elif isinstance(message, NewsChange):
@@ -164,7 +172,7 @@
             version = state.part(RouteCatalog).version
             wanted = NewsWanted(version, known, feed.is_relay, own_offer(state))
             return [SendPeer(link_id, wanted)]
-        is_new = message.revision > (known or 0)
+        is_new = known is not None and message.revision > known
         # An expired entry is removed without a new revision. One that may have lapsed
         # is kept for a while, so it must not be passed on again and again.
         is_expired = not message.may_lapse and any(
--- a/jackdawsill/relaying/_helpers.py
+++ b/jackdawsill/relaying/_helpers.py
@@ -27,21 +27,30 @@
 
 def tell_helpers(state: HostState, now: float) -> list[Effect]:
     """Use the helpers known here, and tell subscribers and other relays of them."""
+    _, known = _helpers(state)
+    state.part(Delegates).set_helpers(_sorted(known), now)
+    links = sorted(state.part(NewsFeed).subscribers_)
+    return [tell_subscriber(state, link_id) for link_id in links]
+
+
+def tell_subscriber(state: HostState, link_id: int) -> SendPeer:
+    """Return the message that tells one subscriber of the helpers."""
+    near, known = _helpers(state)
+    # Another relay hears only of the hosts here, so that none goes round.
+    is_relay = link_id in state.part(NewsFeed).relay_subscribers_
+    return SendPeer(link_id, NewsHelpers(_sorted(near if is_relay else known)))
+
+
+def _helpers(state: HostState) -> tuple[set[Helper], set[Helper]]:
+    """Return the helpers that learn from this host, and all that are known."""
     feed = state.part(NewsFeed)
     own = own_offer(state)
     near = {own} if own is not None else set()
     for link_id, helpers in feed.offers_.items():
         if link_id not in feed.partners_:
             near.update(helpers)
-    known = near.union(*(feed.offers_.get(link_id, ()) for link_id in feed.partners_))
-    state.part(Delegates).set_helpers(_sorted(known), now)
-    effects: list[Effect] = []
-    for link_id in sorted(feed.subscribers_):
-        # Another relay hears only of the hosts here, so that none goes round.
-        is_relay = link_id in feed.relay_subscribers_
-        message = NewsHelpers(_sorted(near if is_relay else known))
-        effects.append(SendPeer(link_id, message))
-    return effects
+    told = (feed.offers_.get(link_id, ()) for link_id in feed.partners_)
+    return near, near.union(*told)
 
 
 def _sorted(helpers: set[Helper]) -> tuple[Helper, ...]:
--- a/jackdawsill/relaying/tests/test_relaying.py
+++ b/jackdawsill/relaying/tests/test_relaying.py
@@ -7,6 +7,7 @@
     CrashEvidence,
     Delegates,
     FleetSize,
+    ReplicaRegistry,
     StoreLost,
     StoreRegained,
 )
@@ -152,6 +153,17 @@
         fleet.run(1.5)
         self.assertEqual(fleet.lagging(), [])
 
+    def test_relay_that_knows_nothing_yet(self):
+        """Guards against an empty list of replicas taken for the store's."""
+        fleet = Fleet(5)
+        for seed in fleet.seeds:
+            fleet.hosts[seed].reaches_store = False
+        fleet.run(1.0)
+        for host in fleet.hosts.values():
+            self.assertIsNone(host.state.part(ReplicaRegistry).revision_)
+        fleet.run(4.0)
+        self.assertEqual(fleet.lagging(), [])
+
     def test_without_seeds(self):
         """Guards against a host that has nobody to ask."""
         fleet = Fleet(2, n_seeds=0)
