--- a/jackdawsill/forwarding/_outcomes.py
+++ b/jackdawsill/forwarding/_outcomes.py
@@ -13,7 +13,7 @@
 )
 from jackdawsill.forwarding import _log_events as log_events
 from jackdawsill.forwarding._admit import take_back
-from jackdawsill.forwarding._calls import Attempt, CallTable, Part
+from jackdawsill.forwarding._calls import Attempt, Call, CallTable, Part
 from jackdawsill.forwarding._crashes import CrashEvidence
 from jackdawsill.forwarding._delegates import LATE_S, Delegates
 from jackdawsill.forwarding._dispatch import (
@@ -235,14 +235,25 @@
     if effects:
         return effects
     if call.is_delegated and now >= call.answer_by + LATE_S:
-        for attempt in call.parts[0].open.values():
-            attempt.replica.on_failure(now, at_once=True)
+        effects += _avoid_delegate(call, now)
     for part in call.parts:
         if part.hedge_at is not None and now >= part.hedge_at:
             effects += send_hedge(state, part, now)
     return [*effects, call_timer(call, now)]
 
 
+def _avoid_delegate(call: Call, now: float) -> list[Effect]:
+    """Avoid a silent delegate; only a new connection will show that it is back."""
+    effects: list[Effect] = []
+    for attempt in call.parts[0].open.values():
+        replica = attempt.replica
+        backoff_s = replica.on_failure(now, at_once=True)
+        if backoff_s:
+            effects.append(ejection_line(replica, "silent", backoff_s))
+            effects.append(DropReplica(replica.entry.name))
+    return effects
+
+
 @handles(CallAbandoned, needs=CallTable)
 def on_abandoned(state: HostState, event: CallAbandoned, now: float) -> list[Effect]:
     """Send nothing more for a caller that has left."""
--- a/jackdawsill/forwarding/tests/_host.py
+++ b/jackdawsill/forwarding/tests/_host.py
@@ -3,6 +3,7 @@
 import random
 
 from jackdawsill.core import (
+    Effect,
     FailureKind,
     HostState,
     LogEvent,
@@ -129,6 +130,7 @@
         self.aborted: list[int] = []
         self.replies: list[PassAnswer | SendMerged | RefuseCall] = []
         self.logs: list[LogEvent] = []
+        self.effects: list[Effect] = []
         self.count_fleet(12)
         if routes:
             services = {s for r in routes for s in r.shards}
@@ -150,6 +152,7 @@
     def feed(self, event) -> list:
         """Reduce an event now."""
         effects = reduce(self.state, event, self.now)
+        self.effects += effects
         for effect in effects:
             if isinstance(effect, SendAttempt):
                 self.sent.append(effect)
--- a/jackdawsill/forwarding/tests/test_delegates.py
+++ b/jackdawsill/forwarding/tests/test_delegates.py
@@ -7,6 +7,7 @@
     AttemptAnswered,
     CallArrived,
     Delegates,
+    DropReplica,
     Helper,
     PassAnswer,
     ReplicaAnswer,
@@ -71,6 +72,7 @@
         self.host.call(b"/sweep/1", call_id=1)
         self.host.advance(0.3)
         self.assertEqual(len(self.host.call(b"/sweep/1", call_id=2)), 36)
+        self.assertIn(DropReplica("wide"), self.host.effects)
 
     def test_leaving_caller_stops_the_delegate(self):
         """Guards against a delegate that works for nobody."""
--- a/jackdawsill/http1/_pool.py
+++ b/jackdawsill/http1/_pool.py
@@ -15,6 +15,9 @@
 # Ten round trips between the most distant regions of the users (8 ms one way), with
 # the opening itself; an attempt that is not connected by then goes elsewhere.
 CONNECT_TIMEOUT_S = 0.25
+# A helper is in the same failure domain; a call that it does not take in this time is
+# still in time here.
+HELPER_CONNECT_TIMEOUT_S = 0.05
 # Idle connections are closed this much before the replica would, so that no request
 # crosses its close.
 IDLE_MARGIN_S = 1.0
@@ -71,6 +74,10 @@
             self.n_opening += 1
             self.client.start_task(self._open())
 
+    def _connect_timeout_s(self) -> float:
+        is_helper = bool(self.waiting) and self.waiting[0].is_delegated
+        return HELPER_CONNECT_TIMEOUT_S if is_helper else CONNECT_TIMEOUT_S
+
     async def _open(self) -> None:
         loop = asyncio.get_running_loop()
         host, _, port = self.address.rpartition(":")
@@ -78,7 +85,7 @@
         conn = None
         detail = ""
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(self._connect_timeout_s()):
                 _, conn = await loop.create_connection(
                     lambda: ReplicaConnection(self), host, int(port)
                 )
