--- a/jackdawsill/gateway/_log_events.py
+++ b/jackdawsill/gateway/_log_events.py
@@ -49,3 +49,10 @@
     "The settings are not valid or a port is taken.",
     logbook.ERROR,
 )
+LINES_SUPPRESSED = register_log_event(
+    5308,
+    "lines_suppressed",
+    "{n} lines of event {event} were left out",
+    "The bound on the lines of one event was reached; the metrics count all.",
+    logbook.NOTICE,
+)
--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -10,6 +10,7 @@
     Event,
     Exit,
     HostState,
+    LogEvent,
     Observe,
     OpenLink,
     SendPeer,
@@ -38,6 +39,7 @@
 from jackdawsill.gateway import _log_events as log_events
 from jackdawsill.gateway._build import build_gateway_state, inner_address
 from jackdawsill.gateway._follower import StoreFollower
+from jackdawsill.gateway._log_bound import LogBound
 from jackdawsill.gateway._operator import OperatorPort
 from jackdawsill.gateway._settings import GatewaySettings
 from jackdawsill.gateway._store import BaseStore
@@ -59,6 +61,9 @@
     split_address,
 )
 
+# How often lines that were left out are counted in the log.
+SUPPRESSED_EVERY_S = 1.0
+
 
 def boot_clock() -> float:
     """Return seconds that go on while the machine is suspended."""
@@ -97,6 +102,8 @@
             lambda replica: self.driver.feed(ReplicaRefused(replica)),
             boot_clock,
         )
+        self.log_bound = LogBound()
+        self._suppressed_at = 0.0
         self.operators = OperatorPort(self.state, self._status, boot_clock)
         self.links = LinkSet(self.driver)
         registry = self.state.part(ReplicaRegistry)
@@ -175,6 +182,7 @@
                 SetReadiness: self.operators.set_readiness,
                 Count: self.operators.record,
                 Observe: self.operators.record,
+                LogEvent: self._log,
                 Exit: lambda effect: self.stop(),
             }
         )
@@ -248,6 +256,17 @@
         text = f"{error}\n".encode()
         self._reply(effect.call_id, error.status, headers, text)
 
+    def _log(self, effect: LogEvent) -> None:
+        """Write a line within the bound, and say each second what was left out."""
+        now = self.driver.clock()
+        if self.log_bound.allows(effect.number, now):
+            self.driver.log(effect.number, **effect.fields)
+        if now - self._suppressed_at < SUPPRESSED_EVERY_S:
+            return
+        self._suppressed_at = now
+        for number, n_lines in self.log_bound.take_suppressed().items():
+            self.driver.log(log_events.LINES_SUPPRESSED, event=number, n=n_lines)
+
     def _close_callers(self, effect: CloseCallers) -> None:
         self.callers.close_callers(idle_now=effect.idle_now)
         self.inner.close_callers(idle_now=effect.idle_now)
