--- a/jackdawsill/gateway/_log_bound.py
+++ b/jackdawsill/gateway/_log_bound.py
@@ -7,7 +7,7 @@
 
 
 class LogBound:
-    """Let through a bounded number of lines for each event number, and count the rest."""
+    """Let through a bounded number of lines of each event, and count the rest."""
 
     __slots__ = ("left_", "suppressed_")
 
