--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -134,6 +134,9 @@
         """Remember that entries are current again."""
         self.store_lost_at_ = None
         self.store_regained_at_ = now
+        for replica in self.replicas_.values():
+            if replica.lapsed_at is not None:
+                replica.lapsed_at = now
 
     def on_connected(self, replica: str, elapsed_s: float) -> None:
         """Learn the distance of a failure domain from an opened connection."""
--- a/jackdawsill/forwarding/tests/_host.py
+++ b/jackdawsill/forwarding/tests/_host.py
@@ -169,10 +169,13 @@
     def advance(self, seconds: float) -> None:
         """Let time pass and fire the timers that come due."""
         until = self.now + seconds
+        n_fired = 0
         while self.timers:
             timer_id, at_s = min(self.timers.items(), key=lambda item: item[1])
             if at_s > until:
                 break
+            n_fired += 1
+            assert n_fired < 10_000, "timers fire for ever"
             del self.timers[timer_id]
             self.now = max(self.now, at_s)
             self.feed(TimerFired(timer_id))
--- a/jackdawsill/forwarding/tests/test_registry.py
+++ b/jackdawsill/forwarding/tests/test_registry.py
@@ -132,6 +132,18 @@
         self.assertIn("docs-near", self.table.replicas_)
         self.assertNotIn("docs-far", self.table.replicas_)
 
+    def test_lapsed_long_before_the_return(self):
+        """Guards against dropping live replicas at the moment of the return."""
+        self.host.feed(StoreLost("test"))
+        self.remove("docs-near")
+        self.host.now += 5
+        self.host.feed(StoreRegained())
+        self.host.feed(Tick())
+        self.assertIn("docs-near", self.table.replicas_)
+        self.host.now += 2.1
+        self.host.feed(Tick())
+        self.assertNotIn("docs-near", self.table.replicas_)
+
     def test_draining_entry_that_goes_is_gone(self):
         """Guards against sending to a replica that said it would leave."""
         draining = entry("docs-near", "docs", draining=True)
