Search orders of faults between hosts that relay news

Cause: relaying had examples of single faults only. Change: a Hypothesis search over restarts, silent hosts, muted links, refusals of the store and changes; a host that has been calm for 4 s and reaches the store must know each change within 3 s. The test fleet tells hosts of a lost store, restarts and mutes. Two broken decisions trip the checks.

--- a/jackdawsill/relaying/tests/_fleet.py
+++ b/jackdawsill/relaying/tests/_fleet.py
@@ -28,6 +28,8 @@
     RouteSet,
     RoutesRead,
     StoreConfirmed,
+    StoreLost,
+    StoreRegained,
 )
 from jackdawsill.peers import Decoder, encode
 from jackdawsill.relaying import FollowStore, NewsFeed
@@ -105,8 +107,12 @@
     def follow(self) -> None:
         """Read what the store has that this host has not."""
         store = self.fleet.store
-        if not (self.follows and self.reaches_store):
+        if not self.follows:
             return
+        if not self.reaches_store:
+            self.handle(StoreLost("refused"))
+            return
+        self.handle(StoreRegained())
         self.n_reads += 1
         registry = self.state.part(ReplicaRegistry)
         if registry.revision_ is None:
@@ -142,6 +148,8 @@
             for i in range(n_hosts)
         }
         self.down: set[str] = set()
+        # Pairs of hosts whose messages are lost without a sign.
+        self.muted: set[frozenset[str]] = set()
 
     def open(self, host: Host, effect: OpenLink) -> None:
         """Connect two hosts, if the other one is up."""
@@ -168,7 +176,8 @@
     def send(self, host: Host, link_id: int, message) -> None:
         """Carry a message as bytes."""
         end = self.ends.get((host, link_id))
-        if end is not None:
+        is_muted = end and frozenset((host.address, end[0].address)) in self.muted
+        if end is not None and not is_muted:
             (copy,) = Decoder().feed(encode(message))
             self.queue.append((end[0], PeerMessageRead(end[1], copy)))
 
@@ -176,6 +185,18 @@
         """Let a host fall silent for good, without closing its links."""
         self.down.add(address)
 
+    def restart(self, address: str) -> None:
+        """End a host and start it again; its links are closed."""
+        old = self.hosts[address]
+        for (host, link_id), (other, other_id) in list(self.ends.items()):
+            if host is old:
+                del self.ends[host, link_id]
+                self.ends.pop((other, other_id), None)
+                self.queue.append((other, LinkClosed(other_id, address, "reset")))
+        self.queue = deque(item for item in self.queue if item[0] is not old)
+        self.hosts[address] = Host(self, address, first_start=False)
+        self.down.discard(address)
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         for _ in range(round(seconds / TICK_S)):
--- /dev/null
+++ b/jackdawsill/relaying/tests/test_search.py
@@ -0,0 +1,155 @@
+"""Searches for orders of faults after which a host does not know what it must."""
+
+import unittest
+from collections import deque
+from unittest import mock
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    rule,
+    run_state_machine_as_test,
+)
+
+from jackdawsill.forwarding import ReplicaRegistry
+from jackdawsill.relaying import _feed, _handlers
+from jackdawsill.relaying.tests._fleet import Fleet
+
+N_HOSTS = 6
+# Time in which a change must be known to a host that has been calm for CALM_S: the
+# shortest bounds and the window of the users' sites.
+IN_FORCE_S = 3.0
+CALM_S = 4.0
+SEARCH = settings(
+    max_examples=60,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    print_blob=False,
+    suppress_health_check=list(HealthCheck),
+    phases=(Phase.generate, Phase.shrink),
+)
+BROKEN = settings(SEARCH, max_examples=300, phases=(Phase.generate,))
+host = st.sampled_from([f"h{i}" for i in range(N_HOSTS)])
+
+
+class Relaying(RuleBasedStateMachine):
+    """Hosts, links and a store with faults; calm hosts are checked at each step."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = Fleet(N_HOSTS)
+        self.disturbed = dict.fromkeys(self.fleet.hosts, self.fleet.now)
+        self.n_names = 1
+        # What the store said at each time: (time, version, names of replicas).
+        self.history: deque = deque()
+        self.note()
+
+    def note(self) -> None:
+        """Remember what the store says now."""
+        store = self.fleet.store
+        self.history.append((self.fleet.now, store.version, frozenset(store.entries)))
+
+    def check(self) -> None:
+        """Check what the calm hosts know."""
+        now = self.fleet.now
+        limit = now - IN_FORCE_S
+        while len(self.history) > 1 and self.history[1][0] <= limit:
+            self.history.popleft()
+        version = self.history[0][1]
+        names = [names for _, _, names in self.history]
+        for address, known in self.fleet.hosts.items():
+            is_calm = now - self.disturbed[address] >= CALM_S and known.reaches_store
+            if address in self.fleet.down or not is_calm:
+                continue
+            registry = known.state.part(ReplicaRegistry)
+            assert known.known[0] >= version, f"{address} has an old configuration"
+            lasting = frozenset.intersection(*names)
+            assert lasting <= set(registry.replicas_), f"{address} lacks replicas"
+            gone = set(registry.replicas_) - frozenset.union(*names)
+            assert not gone, f"{address} keeps replicas that are gone"
+
+    @rule(seconds=st.sampled_from((0.1, 0.5, 1.0, 2.0, 3.0)))
+    def time_passes(self, seconds):
+        """Ticks and messages are handled."""
+        for _ in range(round(seconds / 0.1)):
+            self.fleet.run(0.1)
+            self.check()
+
+    @rule(what=st.sampled_from(("write", "remove", "configure")))
+    def change(self, what):
+        """The store changes."""
+        store = self.fleet.store
+        if what == "write":
+            self.n_names += 1
+            store.write(f"r{self.n_names}")
+        elif what == "configure":
+            store.configure()
+        elif len(store.entries) > 1:
+            store.remove(min(store.entries))
+        self.note()
+
+    @rule(address=host)
+    def restart(self, address):
+        """A host restarts."""
+        self.disturbed[address] = self.fleet.now
+        self.fleet.restart(address)
+
+    @rule(address=host)
+    def fall_silent(self, address):
+        """A host stops without a sign."""
+        self.disturbed[address] = self.fleet.now
+        self.fleet.stop(address)
+
+    @rule(address=host, reaches=st.booleans())
+    def store_for(self, address, reaches):
+        """The store refuses a host, or serves it again."""
+        known = self.fleet.hosts[address]
+        if known.reaches_store != reaches:
+            self.disturbed[address] = self.fleet.now
+            known.reaches_store = reaches
+
+    @rule(pair=st.sets(host, min_size=2, max_size=2))
+    def mute(self, pair):
+        """The link between two hosts goes silent, or works again."""
+        self.fleet.muted ^= {frozenset(pair)}
+
+
+class TestRelaying(unittest.TestCase):
+    """A calm host that reaches the store knows each change in time."""
+
+    def test_search(self):
+        """Guards against hosts with old routes or replicas after faults."""
+        run_state_machine_as_test(Relaying, settings=SEARCH)
+
+
+class TestBrokenDecisions(unittest.TestCase):
+    """Each check finds a decision that was broken on purpose."""
+
+    def finds(self, message: str, *patches) -> None:
+        """Assert that the search fails with a message under the patches."""
+        for patch in patches:
+            patch.start()
+            self.addCleanup(patch.stop)
+        with self.assertRaisesRegex(AssertionError, message):
+            run_state_machine_as_test(Relaying, settings=BROKEN)
+
+    def test_patient_host(self):
+        """Guards against a search that does not see a host with old news."""
+        # A silent relay is noticed by either bound.
+        self.finds(
+            "old configuration|lacks replicas",
+            mock.patch.object(_feed, "DIRECT_AFTER_S", 9.0),
+            mock.patch.object(_handlers, "STALE_S", 9.0),
+        )
+
+    def test_lost_changes(self):
+        """Guards against a search that does not see replicas that are missing."""
+        broadcast = _handlers._broadcast
+
+        def routes_only(state, change, now):
+            return broadcast(state, change, now) if change.routes is not None else []
+
+        self.finds("replicas", mock.patch.object(_handlers, "_broadcast", routes_only))
