Judge replicas by long attempts only on routes that were ever answered

Change: without any answer on a route, its attempts are not hedged and say nothing against a replica; a 504 of the replica itself counts likewise. Test: TestLongRequests.test_never_answered failed before.

--- a/jackdawsill/forwarding/_calls.py
+++ b/jackdawsill/forwarding/_calls.py
@@ -93,5 +93,13 @@
             window = self.usual_[route.name] = LatencyWindow()
         return window
 
+    def has_usual_time(self, route: ForwardRoute) -> bool:
+        """Tell whether an attempt of the route was ever answered here.
+
+        Until then a long attempt tells nothing of its replica: the route's requests
+        may all run to their deadline.
+        """
+        return bool(self.window(route).samples_)
+
     def __len__(self) -> int:
         return len(self.calls_)
--- a/jackdawsill/forwarding/_dispatch.py
+++ b/jackdawsill/forwarding/_dispatch.py
@@ -54,6 +54,8 @@
     slow = next(iter(part.open.values()), None)
     if slow is None or part.is_settled:
         return []
+    if not state.part(CallTable).has_usual_time(call.route):
+        return []
     slow.replica.on_silence(now)
     if not call.route.idempotent or not may_send_more(part):
         return []
--- a/jackdawsill/forwarding/_finish.py
+++ b/jackdawsill/forwarding/_finish.py
@@ -178,7 +178,7 @@
     for part in call.parts:
         for attempt_id, attempt in list(part.open.items()):
             attempt.replica.in_flight -= 1
-            if not call.is_delegated:
+            if not call.is_delegated and table.has_usual_time(call.route):
                 effects += _judge_silence(attempt, now)
             table.attempts_.pop(attempt_id, None)
             effects.append(AbortAttempt(attempt_id))
--- a/jackdawsill/forwarding/_outcomes.py
+++ b/jackdawsill/forwarding/_outcomes.py
@@ -41,6 +41,8 @@
 
 # Size of the head of a replica's answer, in bytes.
 HEAD_BYTES = 200
+# Status of a replica that stopped its work at the deadline.
+RAN_OUT_OF_TIME = 504
 # Failures that say nothing against the replica.
 _HARMLESS_KINDS = frozenset({FailureKind.CANCELLED})
 # Refusals without a run: the replica is full, or about to leave.
@@ -74,13 +76,14 @@
     part.n_maybe_run += 1
     if call.is_delegated:
         return _on_delegated_answer(state, attempt, answer, now)
+    table = state.part(CallTable)
     took_s = max(0.0, now - attempt.sent_at - attempt.distance_s)
     if answer.succeeded or answer.status < 500:
         attempt.replica.on_answer(took_s / attempt.usual_s, now)
-        state.part(CallTable).window(call.route).add(took_s)
+        table.window(call.route).add(took_s)
         state.part(Delegates).on_part(call.route, len(answer.body) + HEAD_BYTES)
         state.part(CrashEvidence).on_success(call.fingerprint)
-    else:
+    elif answer.status != RAN_OUT_OF_TIME or table.has_usual_time(call.route):
         attempt.replica.on_failure(now)
     if call.replied or part.is_settled:
         return []
--- a/jackdawsill/forwarding/tests/test_single.py
+++ b/jackdawsill/forwarding/tests/test_single.py
@@ -9,6 +9,7 @@
     PassAnswer,
     RefuseCall,
     ReplicaRefused,
+    ReplicaRegistry,
 )
 from jackdawsill.forwarding._errors import AttemptsFailed, NoReplica, NoSuchRoute
 from jackdawsill.forwarding.tests._host import GatewayModel, fanout_route, single_route
@@ -197,3 +198,43 @@
         host = GatewayModel(single_route(), fanout_route())
         self.assertEqual(len(host.call(b"/sweep/1", call_id=1)), 4)
         self.assertEqual(len(host.call(b"/fetch/1", call_id=2)), 1)
+
+
+class TestLongRequests(unittest.TestCase):
+    """Requests that run to their deadline tell nothing of their replica."""
+
+    def setUp(self):
+        self.host = GatewayModel(single_route(timeout_s=1.1))
+        self.replicas = self.host.state.part(ReplicaRegistry).replicas_
+
+    def avoided(self) -> list[str]:
+        """Return the replicas that new work avoids."""
+        return [n for n, r in self.replicas.items() if r.is_ejected(self.host.now)]
+
+    def test_never_answered(self):
+        """Guards against avoiding healthy replicas, which costs other routes."""
+        for number in range(6):
+            self.host.call(b"/fetch/1", call_id=number + 1, deadline_s=4.0)
+            self.host.advance(1.5)
+        self.assertEqual(self.avoided(), [])
+        self.assertEqual(len(self.host.sent), 6, "a long request was hedged")
+
+    def test_stopped_by_the_replica(self):
+        """Guards against counting a deadline as a replica's failure."""
+        for number in range(6):
+            (send,) = self.host.call(b"/fetch/1", call_id=number + 1, deadline_s=1.0)
+            self.host.now += 0.9
+            self.host.answer(send, status=504)
+            self.host.advance(1.0)
+        self.assertEqual(self.avoided(), [])
+
+    def test_silent_replicas_of_a_known_route(self):
+        """Guards against trusting a replica that answers nothing any more."""
+        for number in range(4):
+            (send,) = self.host.call(b"/fetch/1", call_id=number + 1)
+            self.host.now += 0.05
+            self.host.answer(send)
+        for number in range(4):
+            self.host.call(b"/fetch/1", call_id=number + 10, deadline_s=4.0)
+            self.host.advance(1.5)
+        self.assertNotEqual(self.avoided(), [])
