--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 catalogue: $(STAMP)
 	$(PY) -m tools.catalogue
 	$(PY) -m tools.api_list
+	$(PY) -m tools.constants
 
 format: $(STAMP)
 	$(PY) -m ruff format .
--- a/jackdawsill/forwarding/_crashes.py
+++ b/jackdawsill/forwarding/_crashes.py
@@ -11,8 +11,11 @@
 # it by its caller. Replicas that go down together meet one send of a fan-out only.
 N_CRASHES_TO_CONDEMN = 3
 N_SENDS_TO_CONDEMN = 2
+# Crashes further apart than this say nothing of one request.
 EVIDENCE_S = 60.0
+# Time for which a condemned request is refused; its caller repeats it meanwhile.
 CONDEMNED_S = 600.0
+# Requests with evidence that a host remembers, which bounds memory.
 MAX_KEPT = 2048
 MAX_CRASHES_KEPT = 64  # of one request
 
--- a/jackdawsill/forwarding/_delegates.py
+++ b/jackdawsill/forwarding/_delegates.py
@@ -20,6 +20,7 @@
 NARROW_FRACTION = 0.1
 # Size of a part with its headers until answers have shown it, in bytes.
 PART_BYTES_DEFAULT = 1000.0
+# Weight of a new part in the learned size: about the last twenty parts count.
 PART_BYTES_WEIGHT = 0.05
 # An answer that is this late after the objective speaks against the delegate.
 LATE_S = 0.15
--- a/jackdawsill/forwarding/_finish.py
+++ b/jackdawsill/forwarding/_finish.py
@@ -25,6 +25,7 @@
 from jackdawsill.forwarding._policy import LINGER_S, RETRY_FULL_S
 from jackdawsill.forwarding._replica import LiveReplica
 
+# Length of one record in the body of a part, from the platform's contract.
 RECORD_BYTES = 16
 CALL_SECONDS = "forwarding_call_seconds"
 
--- a/jackdawsill/forwarding/_replica.py
+++ b/jackdawsill/forwarding/_replica.py
@@ -12,6 +12,7 @@
 MEMORY_S = 2.0
 # Refusals are remembered longer, since each one that is met again costs a retry.
 ACCEPTANCE_MEMORY_S = 4.0
+# Weight of a new observation: three in a row make up two thirds of the estimate.
 SAMPLE_WEIGHT = 0.3
 # A replica counts as slow as the fastest of this many attempts in a row: pauses make
 # one or two of them slow, a loaded or failing replica makes all of them slow.
@@ -33,6 +34,7 @@
 N_FAILURES_TO_EJECT = 2
 # A replica that refuses connections within this time after it lost some has crashed.
 CRASH_CONFIRM_S = 3.0
+# Lost requests remembered for each replica, which bounds memory.
 MAX_LOST_KEPT = 16
 # The acceptance of a replica that refuses everything, so that costs stay finite.
 ACCEPTANCE_MIN = 0.05
--- a/jackdawsill/forwarding/_warming.py
+++ b/jackdawsill/forwarding/_warming.py
@@ -9,6 +9,7 @@
 
 # A call and a hedge of another at the same time need two.
 N_CONNECTIONS_MIN = 2
+# Time between two looks; replicas close idle connections after seconds.
 WARM_EVERY_S = 1.0
 # Part of a replica's connections that all hosts together may open ahead.
 WARM_FRACTION = 0.5
--- a/jackdawsill/forwarding/_windows.py
+++ b/jackdawsill/forwarding/_windows.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+# Some seconds of a route's attempts at one host, enough for a quantile of 0.85.
 N_SAMPLES_KEPT = 128
 # The quantile is computed anew once for this many samples.
 N_SAMPLES_PER_SORT = 8
--- a/jackdawsill/gateway/_main.py
+++ b/jackdawsill/gateway/_main.py
@@ -17,6 +17,7 @@
 from jackdawsill.logs import JsonHandler, log_event
 from jackdawsill.runtime import tune_gc
 
+# Exit statuses of the process.
 EXIT_OK = 0
 EXIT_START_FAILED = 1
 EXIT_BAD_SETTINGS = 2
--- a/jackdawsill/http1/_client.py
+++ b/jackdawsill/http1/_client.py
@@ -17,6 +17,7 @@
 from jackdawsill.http1._dialect import BaseDialect
 from jackdawsill.http1._pool import ReplicaPool
 
+# Idle connections are closed a second before the replica would, see IDLE_MARGIN_S.
 SWEEP_S = 1.0
 
 OnEnd = Callable[[AttemptAnswered | AttemptFailed], None]
--- a/jackdawsill/http1/_exchange.py
+++ b/jackdawsill/http1/_exchange.py
@@ -6,6 +6,7 @@
 
 from jackdawsill.http1._sockets import keep_alive_probes
 
+# Bound on memory: several times the platform's largest page of entries.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
--- a/jackdawsill/http1/_server.py
+++ b/jackdawsill/http1/_server.py
@@ -10,7 +10,9 @@
 from jackdawsill.forwarding import CallerLimits, Headers
 from jackdawsill.http1._sockets import keep_alive_probes
 
+# Resolution of the callers' limits, which are seconds.
 SWEEP_S = 0.25
+# Connections that wait for accept; a full queue delays an opening by seconds.
 BACKLOG = 1024
 # Requests read ahead of the one that is being answered.
 MAX_PIPELINED = 8
--- a/jackdawsill/runtime/_links.py
+++ b/jackdawsill/runtime/_links.py
@@ -18,6 +18,7 @@
 from jackdawsill.runtime._driver import Driver
 from jackdawsill.runtime._log_events import BAD_PEER_MESSAGE
 
+# Far above a round trip between regions; a host that is gone gives no answer.
 CONNECT_TIMEOUT_S = 2.0
 # A peer that reads this slowly is as good as lost; closing the link bounds memory.
 MAX_UNSENT_BYTES = 4 * 1024 * 1024
