--- a/jackdawsill/gateway/_settings.py
+++ b/jackdawsill/gateway/_settings.py
@@ -1,7 +1,6 @@
 """Settings of a gateway, read from one INI file and checked."""
 
 import os
-from dataclasses import MISSING, dataclass, field, fields
 from pathlib import Path
 from typing import Annotated, Any, get_type_hints
 
@@ -23,8 +22,7 @@
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 
 
-@dataclass(slots=True, frozen=True)
-class GatewayHost:
+class GatewayHost(msgspec.Struct, frozen=True):
     """The host itself; `grace_s` is its time from the request to stop to the end."""
 
     name: Name
@@ -33,8 +31,7 @@
     link_mbps: Annotated[float, msgspec.Meta(gt=0)]
 
 
-@dataclass(slots=True, frozen=True)
-class GatewayPorts:
+class GatewayPorts(msgspec.Struct, frozen=True):
     """Addresses as ip:port; the inner ports are free for the project's own use."""
 
     callers: Address
@@ -44,8 +41,7 @@
     inner_last: Port
 
 
-@dataclass(slots=True, frozen=True)
-class GatewayStore:
+class GatewayStore(msgspec.Struct, frozen=True):
     """The platform's store, and the peers that follow it for the others.
 
     `first_start` is true while the whole fleet starts for the first time.
@@ -60,15 +56,13 @@
         return tuple(seed for seed in self.seeds.split(",") if seed)
 
 
-@dataclass(slots=True, frozen=True)
-class GatewayCalls:
+class GatewayCalls(msgspec.Struct, frozen=True):
     """Time that calls spend between caller and host, out of their objective."""
 
     caller_network_ms: Milliseconds
 
 
-@dataclass(slots=True, frozen=True)
-class GatewayRetries:
+class GatewayRetries(msgspec.Struct, frozen=True):
     """Budget of the whole fleet for attempts beyond the first, per service."""
 
     ratio: Ratio
@@ -76,15 +70,13 @@
     window_s: Seconds
 
 
-@dataclass(slots=True, frozen=True)
-class GatewayMetrics:
+class GatewayMetrics(msgspec.Struct, frozen=True):
     """Port of the metrics and the status; 0 lets the kernel choose one."""
 
     port: Port = 0
 
 
-@dataclass(slots=True, frozen=True)
-class GatewaySettings:
+class GatewaySettings(msgspec.Struct, frozen=True):
     """All settings of a gateway."""
 
     host: GatewayHost
@@ -94,7 +86,7 @@
     retries: GatewayRetries
     metrics: GatewayMetrics
     # Failure domain -> region.
-    regions: dict[str, str] = field(default_factory=dict)
+    regions: dict[str, str] = {}
 
 
 SECTIONS: dict[str, type] = {
@@ -134,9 +126,9 @@
     values = collector.known_values(section, list(hints))
     loaded = {}
     n_before = len(collector.problems)
-    for spec in fields(section_type):
+    for spec in msgspec.structs.fields(section_type):
         if spec.name not in values:
-            if spec.default is MISSING:
+            if spec.required:
                 message = f"key {spec.name!r} is missing"
                 collector.add(MissingSetting, message, section.line, name)
             continue
--- a/jackdawsill/ini.py
+++ b/jackdawsill/ini.py
@@ -4,9 +4,10 @@
 import difflib
 import re
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
 from pathlib import Path
 
+import msgspec
+
 from jackdawsill.exceptions import JackdawsillError
 
 # Longer names are no misspelt names, and comparing them is slow.
@@ -16,47 +17,42 @@
 _NEWLINE = re.compile(r"\r\n|\n|\r")
 
 
-@dataclass(slots=True, frozen=True)
-class IniEntry:
+class IniEntry(msgspec.Struct, frozen=True):
     """Value of one key and the line of the key."""
 
     value: str
     line: int
 
 
-@dataclass(slots=True, frozen=True)
-class IniProblem:
+class IniProblem(msgspec.Struct, frozen=True):
     """Fault of the file itself, such as a line that is neither header nor key."""
 
     line: int
     message: str
 
 
-@dataclass(slots=True)
-class IniSection:
+class IniSection(msgspec.Struct):
     """One section; a key given twice keeps its last value."""
 
     header: str
     line: int
-    entries: dict[str, IniEntry] = field(default_factory=dict)
-    repeated: list[tuple[str, int]] = field(default_factory=list)
+    entries: dict[str, IniEntry] = {}
+    repeated: list[tuple[str, int]] = []
 
 
-@dataclass(slots=True)
-class IniFile:
+class IniFile(msgspec.Struct):
     """Sections of a file in order; equal headers stay separate sections."""
 
     path: Path
-    sections: list[IniSection] = field(default_factory=list)
-    problems: list[IniProblem] = field(default_factory=list)
+    sections: list[IniSection] = []
+    problems: list[IniProblem] = []
 
 
-@dataclass(slots=True)
-class _Position:
+class _Position(msgspec.Struct):
     """Where configparser is reading; `line` is 0 after the last line."""
 
     line: int = 0
-    section: IniSection = field(default_factory=lambda: IniSection("", 0))
+    section: IniSection = msgspec.field(default_factory=lambda: IniSection("", 0))
 
     def record(self, key: str) -> None:
         """Note the line of a key that configparser sets now."""
--- a/jackdawsill/logs/_registry.py
+++ b/jackdawsill/logs/_registry.py
@@ -1,12 +1,10 @@
 """Registry of numbered log events."""
 
-from dataclasses import dataclass
-
 import logbook
+import msgspec
 
 
-@dataclass(slots=True, frozen=True)
-class EventSpec:
+class EventSpec(msgspec.Struct, frozen=True):
     """Describe one numbered log event; `template` names its fields."""
 
     number: int
