Show that the checks of replica connections find broken code

Change: cases for a late second answer, bytes while idle and a connection that ends. Conclusion: tests only.

--- a/jackdawsill/http1/tests/test_connection.py
+++ b/jackdawsill/http1/tests/test_connection.py
@@ -26,14 +26,8 @@
     suppress_health_check=list(HealthCheck),
 )
 cuts = st.lists(st.integers(0, 400), max_size=6)
-trailing = st.sampled_from(
-    (
-        b"x",
-        b"\r\n",
-        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: 1\r\n\r\nno",
-        b"\x00" * 9,
-    )
-)
+SECOND = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: 1\r\n\r\nno"
+trailing = st.sampled_from((b"x", b"\r\n", SECOND, b"\x00" * 9))
 
 
 class _Dialect(BaseDialect):
@@ -175,6 +169,47 @@
             is_own = isinstance(end, AttemptAnswered) and end.answer.body == b"two"
             self.assertTrue(is_own or isinstance(end, AttemptFailed), end)
 
+    @SEARCH
+    @given(at=cuts)
+    def test_late_second_answer(self, at):
+        """Guards against the second answer to an earlier request of a connection."""
+
+        async def run():
+            pool = _Pool()
+            pool.ask(1)
+            pool.feed(answer(1, b"one"))
+            await asyncio.sleep(0)
+            pool.ask(2)
+            for piece in pieces(SECOND + answer(2, b"two"), at):
+                pool.feed(piece)
+                await asyncio.sleep(0)
+            return pool
+
+        pool = asyncio.run(run())
+        self.assertEqual(pool.ends[1].answer.body, b"two")
+        self.assertFalse(pool.is_usable)
+
+    def test_bytes_while_idle(self):
+        """Guards against reuse of a connection that sent what nobody asked for."""
+        pool = _Pool()
+        pool.feed(b"H")
+        self.assertFalse(pool.is_usable)
+
+    def test_connections_that_end(self):
+        """Guards against a request that crosses the close of its connection."""
+
+        async def run():
+            pool = _Pool()
+            pool.ask(1)
+            head = b"HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n"
+            pool.feed(head + b"Content-Length: 1\r\n\r\na")
+            await asyncio.sleep(0)
+            return pool
+
+        pool = asyncio.run(run())
+        self.assertIsInstance(pool.ends[0], AttemptAnswered)
+        self.assertFalse(pool.is_usable)
+
     @SEARCH
     @given(body=st.binary(min_size=1, max_size=100), at=cuts, n=st.integers(0, 200))
     def test_broken_off(self, body, at, n):
