Keep the settings of searches in one place

Cause: five test modules repeated the settings of Hypothesis. Change: core/tests/searches.py; numbers of examples and steps unchanged. Conclusion: tests only.

--- a/jackdawsill/forwarding/tests/test_search.py
+++ b/jackdawsill/forwarding/tests/test_search.py
@@ -3,28 +3,18 @@
 import unittest
 from unittest import mock
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
 from jackdawsill.core import SetTimer
+from jackdawsill.core.tests.searches import search, search_broken
 from jackdawsill.forwarding import _admit, _dispatch, _finish, _outcomes
 from jackdawsill.forwarding._registry import ReplicaRegistry
 from jackdawsill.forwarding.tests._search import ForwardingLife
 
-N_EXAMPLES = 200
 N_STEPS = 40
-SEARCH = settings(
-    max_examples=N_EXAMPLES,
-    stateful_step_count=N_STEPS,
-    deadline=None,
-    derandomize=True,
-    database=None,
-    print_blob=False,
-    suppress_health_check=list(HealthCheck),
-    phases=(Phase.generate, Phase.shrink),
-)
+SEARCH = search(200, N_STEPS)
 # Broken decisions are found in more examples, which end at the first finding.
-BROKEN = settings(SEARCH, max_examples=600, phases=(Phase.generate,))
+BROKEN = search_broken(600, N_STEPS)
 
 
 class TestForwarding(unittest.TestCase):
--- a/jackdawsill/http1/tests/test_connection.py
+++ b/jackdawsill/http1/tests/test_connection.py
@@ -4,10 +4,11 @@
 import itertools
 import unittest
 
-from hypothesis import HealthCheck, given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from jackdawsill.core import FailureKind
+from jackdawsill.core.tests.searches import search
 from jackdawsill.forwarding import (
     AttemptAnswered,
     AttemptFailed,
@@ -18,13 +19,7 @@
 from jackdawsill.http1._connection import ReplicaConnection
 from jackdawsill.http1._dialect import BaseDialect
 
-SEARCH = settings(
-    max_examples=150,
-    deadline=None,
-    derandomize=True,
-    database=None,
-    suppress_health_check=list(HealthCheck),
-)
+SEARCH = search(150)
 cuts = st.lists(st.integers(0, 400), max_size=6)
 SECOND = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: 1\r\n\r\nno"
 trailing = st.sampled_from((b"x", b"\r\n", SECOND, b"\x00" * 9))
--- a/jackdawsill/http1/tests/test_server.py
+++ b/jackdawsill/http1/tests/test_server.py
@@ -2,20 +2,15 @@
 
 import unittest
 
-from hypothesis import HealthCheck, given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
+from jackdawsill.core.tests.searches import search
 from jackdawsill.forwarding import CallerLimits
 from jackdawsill.http1._server import CallServer, _CallerConnection
 from jackdawsill.http1.tests.test_connection import pieces
 
-SEARCH = settings(
-    max_examples=150,
-    deadline=None,
-    derandomize=True,
-    database=None,
-    suppress_health_check=list(HealthCheck),
-)
+SEARCH = search(150)
 LIMITS = CallerLimits(max_header_bytes=400, max_body_bytes=1000)
 # Heads that another server on the way may read in another way.
 AMBIGUOUS = (
--- a/jackdawsill/relaying/tests/test_search.py
+++ b/jackdawsill/relaying/tests/test_search.py
@@ -4,7 +4,6 @@
 from collections import deque
 from unittest import mock
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -12,6 +11,7 @@
     run_state_machine_as_test,
 )
 
+from jackdawsill.core.tests.searches import search, search_broken
 from jackdawsill.forwarding import ReplicaRegistry
 from jackdawsill.relaying import _feed, _handlers
 from jackdawsill.relaying.tests._fleet import Fleet
@@ -21,17 +21,8 @@
 # shortest bounds and the window of the users' sites.
 IN_FORCE_S = 3.0
 CALM_S = 4.0
-SEARCH = settings(
-    max_examples=60,
-    stateful_step_count=25,
-    deadline=None,
-    derandomize=True,
-    database=None,
-    print_blob=False,
-    suppress_health_check=list(HealthCheck),
-    phases=(Phase.generate, Phase.shrink),
-)
-BROKEN = settings(SEARCH, max_examples=300, phases=(Phase.generate,))
+SEARCH = search(60, 25)
+BROKEN = search_broken(300, 25)
 host = st.sampled_from([f"h{i}" for i in range(N_HOSTS)])
 
 
--- a/jackdawsill/tickets/tests/test_stateful.py
+++ b/jackdawsill/tickets/tests/test_stateful.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -13,6 +13,7 @@
 )
 
 from jackdawsill.core import FailureKind, LinkClosed, StopRequested, Tick, TimerFired
+from jackdawsill.core.tests.searches import search, search_broken
 from jackdawsill.exceptions import Outcome
 from jackdawsill.spread import ConfigSpread
 from jackdawsill.stopping import Phase as StopPhase
@@ -22,6 +23,7 @@
 from jackdawsill.tickets.tests.fleet import Fleet
 
 MAX_HOSTS = 6
+N_STEPS = 40
 UNSURE = (FailureKind.CRASH, FailureKind.TIMEOUT, FailureKind.BAD_ANSWER)
 OUTCOMES = [None, *UNSURE, FailureKind.SHED] * 3 + list(FailureKind)
 # Not integers(): Hypothesis mixes constants of all imported modules into them, so
@@ -195,23 +197,11 @@
         return self._send(state, run, now)
 
 
-def check(office_type, n_examples: int, phases, checks_not_run: bool = True) -> None:
+def check(office_type, settings: settings, checks_not_run: bool = True) -> None:
     """Search with a fixed seed."""
     fields = {"office_type": office_type, "checks_not_run": checks_not_run}
     machine = type("Life", (TicketLife,), fields)
-    run_state_machine_as_test(
-        machine,
-        settings=settings(
-            max_examples=n_examples,
-            stateful_step_count=40,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            phases=phases,
-            report_multiple_bugs=False,
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    run_state_machine_as_test(machine, settings=settings)
 
 
 class TestTicketLife(unittest.TestCase):
@@ -219,7 +209,7 @@
 
     def test_all_orders(self):
         """Guards against a ticket that runs twice, or after a refusal as not run."""
-        check(TicketOffice, 300, (Phase.generate, Phase.shrink))
+        check(TicketOffice, search(300, N_STEPS))
 
     def test_broken_decisions_are_caught(self):
         """Guards against a search that would not find a double run."""
@@ -229,4 +219,4 @@
                 self.subTest(office_type=office_type.__name__),
                 self.assertRaisesRegex(AssertionError, "ran more than once"),
             ):
-                check(office_type, 2000, (Phase.generate,), checks_not_run=False)
+                check(office_type, search_broken(2000, N_STEPS), checks_not_run=False)
