--- a/examples/demo.py
+++ b/examples/demo.py
@@ -231,6 +231,8 @@
     n_after = server.n_arrived_
     for _ in range(20):
         await search()
+    for reply in [r for r in replies if not is_whole(r, 10)][:3]:
+        print(f"  not whole: {show(reply)}")
     check(
         f"all {len(replies)} answers are whole",
         all(is_whole(reply, 10) for reply in replies),
