Let a beat not hide a missed change

Cause: a host that misses a change asks its relay for all entries. A sign of life that arrives before they do raised the host's revision to theirs, and the list was dropped as old: replicas that leave or end stayed in use until their entries were written again. Change: beats do not raise the revision while a list is awaited on the link. Test: test_beat_before_the_snapshot_of_a_missed_change failed before.

--- a/jackdawsill/relaying/_feed.py
+++ b/jackdawsill/relaying/_feed.py
@@ -41,6 +41,7 @@
     __slots__ = (
         "address",
         "avoided_",
+        "awaits_snapshot_",
         "confirmed_at_",
         "counts_",
         "direct_since_",
@@ -77,6 +78,8 @@
         self.link_id_ = 0
         self.relay_ = ""  # address of the relay in use
         self.opened_at_ = 0.0
+        # A change was missed on the link in use; its sender was asked for all it knows.
+        self.awaits_snapshot_ = False
         self.met_at_ = 0.0
         self.opening_: dict[int, str] = {}  # link -> address
         self.avoided_: dict[str, float] = {}  # address -> end
@@ -153,4 +156,5 @@
         self.opening_.clear()
         self.link_id_ = 0
         self.upstream_ = Upstream.NONE
+        self.awaits_snapshot_ = False
         return links
--- a/jackdawsill/relaying/_handlers.py
+++ b/jackdawsill/relaying/_handlers.py
@@ -158,6 +158,8 @@
     known = registry.revision_
     effects: list[Effect] = []
     if isinstance(message, NewsSnapshot):
+        if link_id == feed.link_id_:
+            feed.awaits_snapshot_ = False
         if message.routes is not None:
             effects.append(Raise(RoutesRead(message.routes, PEER)))
         # A sender that has read nothing yet has revision 0.
@@ -169,6 +171,8 @@
             effects.append(Raise(RoutesRead(message.routes, PEER)))
         if known is not None and message.base > known:
             # A change was missed; the answer is a snapshot.
+            if link_id == feed.link_id_:
+                feed.awaits_snapshot_ = True
             version = state.part(RouteCatalog).version
             wanted = NewsWanted(version, known, feed.is_relay, own_offer(state))
             return [SendPeer(link_id, wanted)]
@@ -189,9 +193,9 @@
             )
             effects.append(Raise(change))
     elif isinstance(message, NewsBeat):
-        # All changes before it came on the same link.
+        # All changes before it came on the same link, unless one was missed.
         is_synced = feed.upstream_ is Upstream.SYNCED and link_id == feed.link_id_
-        if known is not None and is_synced:
+        if known is not None and is_synced and not feed.awaits_snapshot_:
             registry.revision_ = max(known, message.revision)
     else:
         return []
--- a/jackdawsill/relaying/tests/test_relaying.py
+++ b/jackdawsill/relaying/tests/test_relaying.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from jackdawsill.core import PeerMessageRead
 from jackdawsill.forwarding import (
     CrashConfirmed,
     CrashEvidence,
@@ -11,7 +12,8 @@
     StoreLost,
     StoreRegained,
 )
-from jackdawsill.relaying.tests._fleet import Fleet
+from jackdawsill.relaying._messages import NewsBeat, NewsChange, NewsSnapshot
+from jackdawsill.relaying.tests._fleet import Fleet, entry
 
 # Time in which a change of routes or replicas must be in force.
 IN_FORCE_S = 3.0
@@ -130,6 +132,21 @@
         self.fleet.run(IN_FORCE_S)
         self.assertEqual(self.fleet.lagging(), [])
 
+    def test_beat_before_the_snapshot_of_a_missed_change(self):
+        """Guards against a snapshot that is dropped because a beat came first."""
+        host = self.fleet.hosts["h7"]
+        registry = host.state.part(ReplicaRegistry)
+        known, link_id = registry.revision_, host.feed.link_id_
+        missed = NewsChange(None, (), (), known + 2, known + 3, 0.1, False)
+        host.handle(PeerMessageRead(link_id, missed))
+        host.handle(PeerMessageRead(link_id, NewsBeat(known + 3, 0.1)))
+        entries = (entry("r9"),)
+        snapshot = NewsSnapshot(None, entries, known + 3, 0.1)
+        host.handle(PeerMessageRead(link_id, snapshot))
+        self.assertEqual(sorted(registry.replicas_), ["r9"])
+        host.handle(PeerMessageRead(link_id, NewsBeat(known + 4, 0.1)))
+        self.assertEqual(registry.revision_, known + 4)
+
     def test_back_to_relays(self):
         """Guards against a fleet that reads the store for ever after a fault."""
         for seed in self.fleet.seeds:
