Let messages cross in the search of relayed news

Cause: the search did not find the beat that hides a missed change. Its messages arrived at once, and its store told a revision of the configuration as a change of replicas, which the real follower does not. Change: messages arrive one tick later, changes come at ticks that follow each other, and the store tells only the entries that were written after a revision. Conclusion: tests only.

--- a/jackdawsill/relaying/tests/_fleet.py
+++ b/jackdawsill/relaying/tests/_fleet.py
@@ -49,12 +49,14 @@
         self.revision = 1
         self.version = 1
         self.entries = {"r1": entry("r1")}
+        self.written_at = {"r1": 1}  # name -> revision
         self.last_removed: tuple[str, ...] = ()
 
     def write(self, name: str) -> None:
         """Register a replica."""
         self.entries[name] = entry(name)
         self.revision += 1
+        self.written_at[name] = self.revision
 
     def remove(self, name: str) -> None:
         """Remove a replica."""
@@ -120,9 +122,13 @@
             self.handle(ReplicasListed(entries, store.revision, STORE))
         elif registry.revision_ < store.revision:
             removed = tuple(n for n in registry.replicas_ if n not in store.entries)
-            written = tuple(store.entries.values())
             base = registry.revision_
-            self.handle(ReplicasChanged(written, removed, store.revision, STORE, base))
+            written = tuple(
+                e for name, e in store.entries.items() if store.written_at[name] > base
+            )
+            if written or removed:
+                change = ReplicasChanged(written, removed, store.revision, STORE, base)
+                self.handle(change)
         if self.state.part(RouteCatalog).version < store.version:
             self.handle(RoutesRead(store.routes(), STORE))
         self.handle(StoreConfirmed(store.revision))
@@ -148,6 +154,8 @@
             for i in range(n_hosts)
         }
         self.down: set[str] = set()
+        # Messages arrive at the tick after they were sent, not at once.
+        self.is_slow = False
         # Pairs of hosts whose messages are lost without a sign.
         self.muted: set[frozenset[str]] = set()
 
@@ -208,9 +216,10 @@
             self.deliver()
 
     def deliver(self) -> None:
-        """Deliver all queued messages."""
+        """Deliver all queued messages, or those that were sent before this tick."""
         n_delivered = 0
-        while self.queue:
+        n_due = len(self.queue)
+        while self.queue and not (self.is_slow and n_delivered == n_due):
             host, event = self.queue.popleft()
             n_delivered += 1
             assert n_delivered < 10_000, "messages go round for ever"
--- a/jackdawsill/relaying/tests/test_search.py
+++ b/jackdawsill/relaying/tests/test_search.py
@@ -23,6 +23,7 @@
 CALM_S = 4.0
 SEARCH = search(60, 25)
 BROKEN = search_broken(300, 25)
+change = st.sampled_from(("write", "remove", "configure"))
 host = st.sampled_from([f"h{i}" for i in range(N_HOSTS)])
 
 
@@ -32,6 +33,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.fleet = Fleet(N_HOSTS)
+        self.fleet.is_slow = True
         self.disturbed = dict.fromkeys(self.fleet.hosts, self.fleet.now)
         self.n_names = 1
         # What the store said at each time: (time, version, names of replicas).
@@ -69,9 +71,14 @@
             self.fleet.run(0.1)
             self.check()
 
-    @rule(what=st.sampled_from(("write", "remove", "configure")))
-    def change(self, what):
-        """The store changes."""
+    @rule(whats=st.lists(change, min_size=1, max_size=4))
+    def change(self, whats):
+        """The store changes, once or at ticks that follow each other."""
+        for what in whats:
+            self._change(what)
+            self.time_passes(0.1)
+
+    def _change(self, what: str) -> None:
         store = self.fleet.store
         if what == "write":
             self.n_names += 1
@@ -131,11 +138,18 @@
         """Guards against a search that does not see a host with old news."""
         # A silent relay is noticed by either bound.
         self.finds(
-            "old configuration|lacks replicas",
+            "has an old configuration|lacks replicas|keeps replicas",
             mock.patch.object(_feed, "DIRECT_AFTER_S", 9.0),
             mock.patch.object(_handlers, "STALE_S", 9.0),
         )
 
+    def test_beats_that_hide_a_change(self):
+        """Guards against a search whose messages never cross."""
+        never = property(lambda feed: False, lambda feed, value: None)
+        self.finds(
+            "replicas", mock.patch.object(_feed.NewsFeed, "awaits_snapshot_", never)
+        )
+
     def test_lost_changes(self):
         """Guards against a search that does not see replicas that are missing."""
         broadcast = _handlers._broadcast
