Bound what a replica may send, and drop unidentified responses and trailers

Cause: the parser of responses had a bound on the body only. A head, interim responses, chunk extensions, trailers and responses to other requests could come without end until the deadline, and 63 unfinished parts of 4 MiB each exceed a host of 200 MB. Reading the same code for second copies of answers showed two more faults: a copy without a request id on a reused connection was taken for the next request's answer, and a trailer was appended to the headers (`Not-Executed` as a trailer made a run request count as not run). The store's client took an interim response (1xx) as the answer.

Change: `ResponseMeter` bounds head, framing, number of headers and of other responses for each request; all unfinished responses together are bounded by an eighth of the host's memory (new setting [host] memory_mb), and the largest one fails first. Past a bound the connection is closed and the attempt fails as one that may have run. Trailers are dropped. A response without an id is accepted only as the first one of a connection, which is then closed.

--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -64,6 +64,10 @@
 # Minimum time between two reports of suppressed lines; a report is written together
 # with the next log event after it.
 SUPPRESSED_REPORT_INTERVAL_S = 1.0
+# Fraction of the process's memory that unfinished responses of replicas may take. The
+# process itself needs about 40 MB, and complete responses take memory too.
+RESPONSE_MEMORY_FRACTION = 0.125
+BYTES_PER_MB = 1_000_000
 
 
 def boot_clock() -> float:
@@ -105,6 +109,7 @@
             self._on_connected,
             lambda replica: self.driver.feed(ReplicaRefused(replica)),
             boot_clock,
+            int(RESPONSE_MEMORY_FRACTION * cfg.host.memory_mb * BYTES_PER_MB),
         )
         self.log_limiter = LogRateLimiter()
         self._suppressed_reported_at = 0.0
--- a/jackdawsill/gateway/_settings.py
+++ b/jackdawsill/gateway/_settings.py
@@ -27,13 +27,15 @@
 
     `grace_s` is the time from the stop request to the kill. `link_mbps` is the
     bandwidth of the host's network link in Mbit/s; a host with a narrow one delegates
-    fan-outs.
+    fan-outs. `memory_mb` is the memory of the process, in MB of 10^6 bytes, which
+    bounds what unfinished responses of replicas may take.
     """
 
     name: Name
     failure_domain: Name
     grace_s: Seconds
     link_mbps: Annotated[float, msgspec.Meta(gt=0)]
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 128.0
 
 
 class GatewayPorts(msgspec.Struct, frozen=True):
--- a/jackdawsill/http1/_client.py
+++ b/jackdawsill/http1/_client.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from jackdawsill.core import FailureKind
 from jackdawsill.forwarding import (
     AbortAttempt,
     AttemptAnswered,
@@ -13,6 +14,7 @@
     SendAttempt,
     WarmReplicas,
 )
+from jackdawsill.http1._bounds import ResponseTooLarge
 from jackdawsill.http1._connection import ReplicaConnection
 from jackdawsill.http1._header_codec import BaseHeaderCodec
 from jackdawsill.http1._pool import ReplicaPool
@@ -20,6 +22,8 @@
 # Interval of the check for idle connections, which are closed IDLE_MARGIN_S (1 s)
 # before the replica would close them.
 IDLE_CHECK_INTERVAL_S = 1.0
+# Default bound on the memory of all unfinished responses together.
+MAX_HELD_BYTES = 32 * 1024 * 1024
 
 OnAttemptEnd = Callable[[AttemptAnswered | AttemptFailed], None]
 OnConnected = Callable[[str, float], None]
@@ -32,6 +36,8 @@
     `on_attempt_end`. `on_connected` gets the replica and the seconds that the
     connection took to open. `on_connect_failure` gets the replica when a connection
     opened in advance fails; if attempts wait for the connection, they fail instead.
+    Unfinished responses take at most `max_held_bytes` of memory together; beyond that
+    the largest one fails.
     """
 
     def __init__(
@@ -41,12 +47,15 @@
         on_connected: OnConnected,
         on_connect_failure: Callable[[str], None],
         clock: Callable[[], float] = time.monotonic,
+        max_held_bytes: int = MAX_HELD_BYTES,
     ) -> None:
         self.header_codec = header_codec
         self.on_attempt_end = on_attempt_end
         self.on_connected = on_connected
         self.on_connect_failure = on_connect_failure
         self.clock = clock
+        self.max_held_bytes = max_held_bytes
+        self.n_held_bytes_ = 0
         # (replica, incarnation) -> pool
         self.pools_: dict[tuple[str, str], ReplicaPool] = {}
         self.connections_by_attempt_: dict[
@@ -121,6 +130,22 @@
         if self.pools_by_attempt_.pop(attempt.attempt_id, None) is not None:
             self.on_attempt_end(outcome)
 
+    def hold(self, conn: ReplicaConnection, n_bytes: int) -> None:
+        """Count bytes of an unfinished response, and keep all of them within the limit.
+
+        Fails the largest unfinished response; raises ResponseTooLarge if it is that of
+        `conn`.
+        """
+        conn.n_held_bytes += n_bytes
+        self.n_held_bytes_ += n_bytes
+        while self.n_held_bytes_ > self.max_held_bytes:
+            conns = self.connections_by_attempt_.values()
+            largest = max(conns, key=lambda c: c.n_held_bytes, default=conn)
+            detail = "largest of the unfinished responses that exceed the memory limit"
+            if largest.n_held_bytes <= conn.n_held_bytes:
+                raise ResponseTooLarge(detail)
+            largest.fail(FailureKind.BAD_ANSWER, detail)
+
     def start_task(self, coroutine) -> None:
         """Run a coroutine; the reference to its task keeps it from being collected."""
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/jackdawsill/http1/_connection.py
+++ b/jackdawsill/http1/_connection.py
@@ -12,6 +12,7 @@
     ReplicaAnswer,
     SendAttempt,
 )
+from jackdawsill.http1._bounds import ResponseMeter
 from jackdawsill.http1._header_codec import ResponseFailure
 from jackdawsill.http1._sockets import enable_tcp_keepalive
 
@@ -30,7 +31,8 @@
     """One connection; it carries one attempt at a time.
 
     `must_close` is set when the connection cannot carry another attempt, `is_framed`
-    when the response's headers tell where its body ends.
+    when the response's headers tell where its body ends. `n_held_bytes` is the size of
+    the unfinished response, which counts towards the client's limit.
     """
 
     __slots__ = (
@@ -42,8 +44,10 @@
         "idle_timeout_s",
         "idle_until",
         "is_framed",
+        "is_reused",
+        "meter",
         "must_close",
-        "n_body_bytes",
+        "n_held_bytes",
         "parser",
         "pool",
         "status",
@@ -58,13 +62,17 @@
         self.idle_until = 0.0
         self.idle_timeout_s = NEVER_USED_IDLE_TIMEOUT_S  # until a Keep-Alive header
         self.must_close = False
+        self.is_reused = False
+        self.n_held_bytes = 0
+        self.meter = ResponseMeter(MAX_REPLICA_RESPONSE_BYTES)
         self.parser = httptools.HttpResponseParser(self)
         self._reset()
 
     def _reset(self) -> None:
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
-        self.n_body_bytes = 0
+        self._release_held()
+        self.meter.start_response()
         self.status = 0
         self.is_framed = False
         self.head_complete = False
@@ -77,6 +85,7 @@
     def write(self, attempt: SendAttempt, data: bytes) -> None:
         """Send an attempt over this idle connection."""
         self.attempt = attempt
+        self.meter.start_request()
         # First use: without a Keep-Alive header the default applies from now on.
         if self.idle_timeout_s == NEVER_USED_IDLE_TIMEOUT_S:
             self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -90,13 +99,16 @@
             return
         try:
             self.parser.feed_data(data)
+            self.meter.add_received(len(data))
         except httptools.HttpParserUpgrade:
-            self._fail(FailureKind.BAD_ANSWER, "unexpected protocol upgrade")
-        except httptools.HttpParserError as exc:
+            self.fail(FailureKind.BAD_ANSWER, "unexpected protocol upgrade")
+        except (httptools.HttpParserError, ValueError) as exc:
             if self.attempt is None:
                 self.pool.discard(self)
             else:
-                self._fail(FailureKind.BAD_ANSWER, f"HTTP parse error: {exc}"[:120])
+                # The parser raises its own error from that of a callback.
+                detail = f"invalid response: {exc.__context__ or exc}"
+                self.fail(FailureKind.BAD_ANSWER, detail[:120])
 
     def on_message_begin(self) -> None:
         """Begin a response; without an attempt the connection must be closed."""
@@ -105,12 +117,14 @@
             self.must_close = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        self.headers.append((name, value))
+        """Collect a header; drop a trailer, which must not change the response."""
+        if not self.head_complete:
+            self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Read status, framing of the body and idle timeout."""
         self.head_complete = True
+        self.meter.check_headers(len(self.headers))
         self.status = self.parser.get_status_code()
         for name, value in self.headers:
             key = name.lower()
@@ -126,28 +140,43 @@
             self.on_message_complete()
 
     def on_body(self, data: bytes) -> None:
-        """Collect the body; raise ValueError if it exceeds the limit."""
-        self.n_body_bytes += len(data)
-        if self.n_body_bytes > MAX_REPLICA_RESPONSE_BYTES:
-            raise ValueError("response body exceeds the size limit")
-        self.body.append(data)
+        """Collect the body; raise ResponseTooLarge if it exceeds a limit."""
+        self.meter.add_body(len(data))
+        if self.attempt is not None:
+            self.body.append(data)
+            self.pool.client.hold(self, len(data))
 
     def on_message_complete(self) -> None:
         """End the attempt, unless the response belongs to another request."""
-        if self.status < 200:
-            return
         attempt = self.attempt
         if attempt is None:
             self.must_close = True
             return
+        if self.status < 200:
+            self.meter.add_extra_response()
+            return
         headers = tuple(self.headers)
-        if not self.pool.client.header_codec.is_response_to(
-            attempt.req.request_id, headers
-        ):
-            # A duplicate response to an earlier request on this connection.
+        is_own = self._is_response_to(attempt, headers)
+        if is_own is None:
+            raise ValueError("response without a request id on a reused connection")
+        if is_own:
+            self._finish(headers)
+        else:
+            # A late or duplicate response to an earlier request on this connection.
             self.must_close = True
-            return
-        self._finish(headers)
+            self.meter.add_extra_response()
+
+    def _is_response_to(self, attempt: SendAttempt, headers) -> bool | None:
+        """Return whether a response belongs to an attempt; None if unknown.
+
+        Without an id, only the first request of a connection identifies its response.
+        """
+        codec = self.pool.client.header_codec
+        is_own = codec.is_response_to(attempt.req.request_id, headers)
+        if is_own is None and (attempt.is_delegated or not self.is_reused):
+            self.must_close = self.must_close or not attempt.is_delegated
+            return True
+        return is_own
 
     def _finish(self, headers) -> None:
         attempt = self.attempt
@@ -161,6 +190,8 @@
         # The next request cannot follow one whose body is not written completely.
         unsent = self.transport.get_write_buffer_size() > 0
         self.attempt = None
+        self.is_reused = True
+        self._release_held()
         self.must_close = self.must_close or closes or unsent
         if isinstance(result, ResponseFailure):
             outcome = AttemptFailed(attempt.attempt_id, result.kind, result.detail)
@@ -179,7 +210,8 @@
         self.pool.release(self)
         self.pool.client.report_end(attempt, outcome)
 
-    def _fail(self, kind: FailureKind, detail: str) -> None:
+    def fail(self, kind: FailureKind, detail: str) -> None:
+        """Close the connection and fail its attempt."""
         attempt, self.attempt = self.attempt, None
         self.pool.discard(self)
         if attempt is not None:
@@ -191,9 +223,7 @@
         is_unframed = self.head_complete and not self.is_framed and self.status >= 200
         if self.attempt is not None and is_unframed:
             headers = tuple(self.headers)
-            if self.pool.client.header_codec.is_response_to(
-                self.attempt.req.request_id, headers
-            ):
+            if self._is_response_to(self.attempt, headers):
                 self.must_close = True
                 self._finish(headers)
         return False
@@ -203,12 +233,18 @@
         self.must_close = True
         detail = "connection closed" if exc is None else type(exc).__name__
         if self.head_complete and self.attempt is not None:
-            self._fail(FailureKind.BAD_ANSWER, f"{detail} during the response")
+            self.fail(FailureKind.BAD_ANSWER, f"{detail} during the response")
         else:
-            self._fail(FailureKind.CRASH, detail)
+            self.fail(FailureKind.CRASH, detail)
+
+    def _release_held(self) -> None:
+        """Stop counting the unfinished response towards the client's limit."""
+        self.pool.client.n_held_bytes_ -= self.n_held_bytes
+        self.n_held_bytes = 0
 
     def close(self) -> None:
         """Close at once; unsent bytes are dropped."""
+        self._release_held()
         if self.transport is not None and not self.transport.is_closing():
             self.transport.abort()
 
--- a/jackdawsill/http1/_header_codec.py
+++ b/jackdawsill/http1/_header_codec.py
@@ -66,8 +66,8 @@
         """Return the headers of an attempt with `remaining_s` until its deadline."""
         raise NotImplementedError
 
-    def is_response_to(self, request_id: bytes, headers: Headers) -> bool:
-        """Return whether a response belongs to the request."""
+    def is_response_to(self, request_id: bytes, headers: Headers) -> bool | None:
+        """Return whether a response belongs to the request; None if it has no id."""
         raise NotImplementedError
 
     def read_response(
--- a/jackdawsill/http1/_keep_alive_client.py
+++ b/jackdawsill/http1/_keep_alive_client.py
@@ -4,6 +4,7 @@
 
 import httptools
 
+from jackdawsill.http1._bounds import ResponseMeter
 from jackdawsill.http1._sockets import enable_tcp_keepalive
 
 # A longer response is rejected, to bound memory. The limit is several times the
@@ -23,7 +24,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.response: asyncio.Future | None = None
         self.body: list[bytes] = []
-        self.n_body_bytes = 0
+        self.meter = ResponseMeter(MAX_RESPONSE_BYTES)
         self.is_reusable = True
 
     def connection_made(self, transport) -> None:
@@ -34,27 +35,32 @@
     def data_received(self, data: bytes) -> None:
         """Parse the response; bytes without a request close the connection."""
         if self.response is None:
+            self.is_reusable = False
             self.transport.abort()
             return
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as exc:
-            self._fail(f"HTTP parse error: {exc}")
+            self.meter.add_received(len(data))
+        except (httptools.HttpParserError, ValueError) as exc:
+            self._fail(f"invalid response: {exc.__context__ or exc}")
 
     def on_message_begin(self) -> None:
-        """Begin a response."""
+        """Begin a response; one without a request must not answer a later request."""
         self.body = []
-        self.n_body_bytes = 0
+        self.meter.start_response()
+        if self.response is None:
+            raise ValueError("a second response to one request")
 
     def on_body(self, data: bytes) -> None:
-        """Collect the body; raise ValueError above MAX_RESPONSE_BYTES."""
-        self.n_body_bytes += len(data)
-        if self.n_body_bytes > MAX_RESPONSE_BYTES:
-            raise ValueError("response body exceeds the size limit")
+        """Collect the body; raise ResponseTooLarge above MAX_RESPONSE_BYTES."""
+        self.meter.add_body(len(data))
         self.body.append(data)
 
     def on_message_complete(self) -> None:
-        """Resolve the request in progress."""
+        """Resolve the request in progress, unless the response is an interim one."""
+        if self.parser.get_status_code() < 200:
+            self.meter.add_extra_response()
+            return
         response, self.response = self.response, None
         self.is_reusable = self.parser.should_keep_alive()
         if response is not None and not response.done():
@@ -86,6 +92,7 @@
             async with asyncio.timeout(timeout_s):
                 conn = await self._connection()
                 conn.response = asyncio.get_running_loop().create_future()
+                conn.meter.start_request()
                 head = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n"
                 conn.transport.write(head.encode())
                 return await conn.response
--- a/jackdawsill/http1/tests/test_connection.py
+++ b/jackdawsill/http1/tests/test_connection.py
@@ -23,6 +23,8 @@
 SEARCH_SETTINGS = search(150)
 cut_point_lists = st.lists(st.integers(0, 400), max_size=6)
 EXTRA_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: 1\r\n\r\nno"
+UNIDENTIFIED_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
+INTERIM_RESPONSE = b"HTTP/1.1 103 Early Hints\r\nId: 1\r\n\r\n"
 trailing_bytes = st.sampled_from((b"x", b"\r\n", EXTRA_RESPONSE, b"\x00" * 9))
 
 
@@ -31,7 +33,8 @@
 
     def is_response_to(self, request_id, headers):
         """Compare the ids."""
-        return dict(headers).get(b"Id") == request_id
+        echoed = dict(headers).get(b"Id")
+        return None if echoed is None else echoed == request_id
 
     def read_response(self, status, headers, body):
         """Accept every response."""
@@ -67,6 +70,7 @@
         self.client = self
         self.header_codec = _FakeHeaderCodec()
         self.ends: list = []
+        self.n_held_bytes_ = 0
         self.conn = ReplicaConnection(self)
         self.conn.transport = _FakeTransport()
 
@@ -86,6 +90,11 @@
         if data and not self.conn.transport.closed:
             self.conn.data_received(data)
 
+    def hold(self, conn, n_bytes: int) -> None:
+        """Count the bytes of an unfinished response."""
+        conn.n_held_bytes += n_bytes
+        self.n_held_bytes_ += n_bytes
+
     def discard(self, conn) -> None:
         """Close the connection."""
         conn.close()
@@ -205,6 +214,80 @@
         self.assertEqual(pool.ends[1].answer.body, b"two")
         self.assertFalse(pool.is_reusable)
 
+    @SEARCH_SETTINGS
+    @given(
+        cut_points=cut_point_lists,
+        late=st.sampled_from((EXTRA_RESPONSE, UNIDENTIFIED_RESPONSE, INTERIM_RESPONSE)),
+        n_late=st.integers(0, 3),
+        n_received=st.integers(0, 400),
+        trailer=st.booleans(),
+    )
+    def test_own_complete_answer_or_failure(
+        self, cut_points, late, n_late, n_received, trailer
+    ):
+        """Guards against a foreign or incomplete answer on a reused connection.
+
+        Late responses come before the second one, which may be cut anywhere.
+        """
+
+        async def run():
+            pool = _FakePool()
+            pool.send(1)
+            pool.feed(encode_response(1, b"one", chunked=True))
+            await asyncio.sleep(0)
+            pool.send(2)
+            own = encode_response(2, b"second", chunked=True)
+            if trailer:
+                own = own[:-2] + b"Id: 1\r\n\r\n"
+            data = late * n_late + own
+            is_cut = n_received < len(data)
+            for piece in split_at(data[:n_received], cut_points):
+                pool.feed(piece)
+                await asyncio.sleep(0)
+            if not pool.conn.transport.closed:
+                pool.conn.eof_received()
+            pool.conn.connection_lost(None)
+            await asyncio.sleep(0)
+            return pool, is_cut
+
+        pool, is_cut = asyncio.run(run())
+        first, second = pool.ends
+        self.assertEqual(first.answer.body, b"one")
+        if isinstance(second, AttemptAnswered):
+            self.assertFalse(is_cut)
+            self.assertEqual(second.answer.body, b"second")
+        else:
+            self.assertTrue(is_cut or (n_late and late is UNIDENTIFIED_RESPONSE))
+        self.assertEqual(pool.n_held_bytes_, 0)
+
+    def test_trailer_is_no_header(self):
+        """Guards against a trailer that changes what the response says."""
+
+        async def run():
+            pool = _FakePool()
+            pool.send(1)
+            own = encode_response(1, b"one", chunked=True)
+            pool.feed(own[:-2] + b"Not-Executed: 1\r\n\r\n")
+            await asyncio.sleep(0)
+            return pool
+
+        (end,) = asyncio.run(run()).ends
+        self.assertNotIn(b"Not-Executed", dict(end.answer.headers))
+
+    def test_first_response_without_id(self):
+        """Guards against reuse of a connection whose responses cannot be identified."""
+
+        async def run():
+            pool = _FakePool()
+            pool.send(1)
+            pool.feed(UNIDENTIFIED_RESPONSE)
+            await asyncio.sleep(0)
+            return pool
+
+        pool = asyncio.run(run())
+        self.assertEqual(pool.ends[0].answer.body, b"no")
+        self.assertFalse(pool.is_reusable)
+
     def test_bytes_while_idle(self):
         """Guards against reuse of a connection that received unsolicited bytes."""
         pool = _FakePool()
