--- a/jackdawsill/forwarding/_lifecycle.py
+++ b/jackdawsill/forwarding/_lifecycle.py
@@ -49,6 +49,10 @@
         self.phase_ = GatewayPhase.WAITING
         self.stop_requested_at_ = 0.0
 
+    def exit_at(self, grace_s: float) -> float:
+        """Return the time at which the process exits despite calls in progress."""
+        return self.stop_requested_at_ + EXIT_FRACTION * grace_s
+
     def enter(self, phase: GatewayPhase) -> LogEvent:
         """Change the phase and return the log event."""
         fields = {"before": str(self.phase_), "after": str(phase)}
@@ -97,7 +101,7 @@
         has_calls = any(
             not c.is_ended for c in state.component(CallTable).calls_.values()
         )
-        if has_calls and stopping_s < EXIT_FRACTION * grace_s:
+        if has_calls and now < life.exit_at(grace_s):
             return [CloseCallerConnections(idle_now=True)]
         return [life.enter(GatewayPhase.ENDED), Exit()]
     return []
--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -26,6 +26,8 @@
     CloseCallerConnections,
     DropIdleConnections,
     DropReplicaConnections,
+    ForwardingPolicy,
+    GatewayLifecycle,
     Headers,
     PassAnswer,
     RefuseCall,
@@ -68,6 +70,8 @@
 # process itself needs about 40 MB, and complete responses take memory too.
 RESPONSE_MEMORY_FRACTION = 0.125
 BYTES_PER_MB = 1_000_000
+# Interval of the check whether a stopping process still has callers' connections.
+CLOSING_CHECK_INTERVAL_S = 0.02
 
 
 def boot_clock() -> float:
@@ -113,6 +117,7 @@
         )
         self.log_limiter = LogRateLimiter()
         self._suppressed_reported_at = 0.0
+        self._exit_task: asyncio.Task | None = None  # keeps it from being collected
         self.operator_servers = OperatorServers(self.state, self._status, boot_clock)
         self.links = LinkSet(self.driver)
         registry = self.state.component(ReplicaRegistry)
@@ -195,7 +200,7 @@
                 Count: self.operator_servers.record,
                 Observe: self.operator_servers.record,
                 LogEvent: self._log,
-                Exit: lambda effect: self.stop(),
+                Exit: self._begin_exit,
             }
         )
 
@@ -291,6 +296,28 @@
         self.caller_server.start_closing(idle_now=effect.idle_now)
         self.delegation_server.start_closing(idle_now=effect.idle_now)
 
+    def _begin_exit(self, effect: Exit) -> None:
+        """Stop once each caller has its whole reply, at the latest at the exit time."""
+        self._exit_task = asyncio.get_running_loop().create_task(self._exit())
+
+    async def _exit(self) -> None:
+        """Serve open connections until they are closed.
+
+        A reply may be partly unsent, and a request partly received, while no call is in
+        progress.
+        """
+        servers = (self.caller_server, self.delegation_server)
+        for server in servers:
+            server.stop_listening()
+        exit_at = self.state.component(GatewayLifecycle).exit_at(
+            self.state.component(ForwardingPolicy).grace_s
+        )
+        while any(s.connections for s in servers) and self.driver.clock() < exit_at:
+            for server in servers:
+                server.start_closing(idle_now=True)
+            await asyncio.sleep(CLOSING_CHECK_INTERVAL_S)
+        self.stop()
+
     def _status(self) -> dict[str, object]:
         """Return the status section "process"."""
         return {
--- a/jackdawsill/http1/_server.py
+++ b/jackdawsill/http1/_server.py
@@ -283,12 +283,17 @@
         self._check_timeouts()
         return self._server.sockets[0].getsockname()[1]
 
+    def stop_listening(self) -> None:
+        """Accept no more connections; the open ones are served on."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
     def stop(self) -> None:
         """Stop listening and close all connections after their pending writes."""
         if self._check_handle is not None:
             self._check_handle.cancel()
-        if self._server is not None:
-            self._server.close()
+        self.stop_listening()
         for conn in list(self.connections):
             conn.transport.close()
 
