Apply changed settings while serving, and show which hosts have them

Cause: a reload took over the seeds only, kept the rest unused and logged "applied"; a file that was cut at the end of a line could pass as valid; nobody could tell which hosts had taken a change of settings or routes. Reading the client of replicas: a pool replaced after a changed address was never swept or counted, and a stated idle timeout of 60 s was taken for that of an unused connection.

Change: each setting is live or needs a restart, in one registry (`gateway/_reload.py`); a reload applies all live settings of a valid, complete file or none, and logs old and new values and what waits for a restart. Retry budget, link speed, regions, grace, caller network and seeds are live. Status has a section "settings" with the digest in use, the file's digest and their ages. `jackdawsillctl fleet` shows a row for each host and marks those that differ; `jackdawsillctl check-settings` checks a file before it is handed out. [metrics] port is required and seeds are checked as addresses, so a cut file is invalid. Retired pools close their connections; the idle timeout of an unused connection has no reserved value.

Checks changed: test_all_errors_at_once expects 6 problems instead of 5, since the required port of the metrics stands in the unknown section there.

--- a/jackdawsill/cli/_commands.py
+++ b/jackdawsill/cli/_commands.py
@@ -24,6 +24,12 @@
     FileNotWritten,
     RequestNotFound,
 )
+from jackdawsill.cli._fleet import (
+    fetch_in_batches,
+    fleet_rows,
+    read_hosts_file,
+    render_fleet,
+)
 from jackdawsill.cli._render import in_print_order, render, render_diff
 from jackdawsill.cli._trace import trace_request
 from jackdawsill.exceptions import JackdawsillError
@@ -174,6 +180,40 @@
     _print_answers(hosts, "/status", json, timeout_s)
 
 
+@_command
+def fleet(
+    *hosts: str,
+    hosts_file: str = "",
+    json: bool = False,
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+) -> None:
+    """Print a row for each host, and mark those that differ from most of the others.
+
+    Compared are the version of the routes and the settings in use. `--hosts_file FILE`
+    names a file with one host a line. The timeout is that of each host.
+    """
+    named = [*hosts, *(read_hosts_file(hosts_file) if hosts_file else [])]
+    if not named:
+        raise BadArgument("name at least one host, or a file of hosts")
+    checked = list(dict.fromkeys(normalize_host(host) for host in named))
+    rows = fleet_rows(asyncio.run(fetch_in_batches(checked, "/status", timeout_s)))
+    if json:
+        _print_json(rows)
+        return
+    for line in render_fleet(rows):
+        print(one_line(line))
+
+
+@_command
+def check_settings(path: str) -> None:
+    """Check the settings file of a gateway; print every error."""
+    # Imported here, because it loads the gateway, which other commands do not need.
+    from jackdawsill.gateway import load_gateway_settings, settings_digest
+
+    cfg = load_gateway_settings(path, is_reload=True)
+    print(f"valid: host {cfg.host.name}; digest {settings_digest(cfg)}")
+
+
 @_command
 def explain(
     kind: str,
@@ -244,6 +284,8 @@
     "bundle": bundle,
     "diff": diff_sets,
     "status": status,
+    "fleet": fleet,
+    "check-settings": check_settings,
     "explain": explain,
     "burn": burn,
     "trace": trace,
--- a/jackdawsill/cli/tests/test_commands.py
+++ b/jackdawsill/cli/tests/test_commands.py
@@ -15,6 +15,7 @@
 from jackdawsill.burn import ErrorBudgets
 from jackdawsill.cli import main
 from jackdawsill.core import QueryFinished
+from jackdawsill.gateway.tests.test_settings import VALID as GATEWAY_SETTINGS
 from jackdawsill.objects import Objective
 
 ROOT = Path(__file__).parents[3]
@@ -112,6 +113,18 @@
         )
         self.assertEqual((status, err[:8]), (1, "JDS-5204"))
 
+    def test_settings_of_a_gateway(self):
+        """Guards against handing out a settings file that no gateway can load."""
+        path = self.path / "gateway.ini"
+        path.write_text(GATEWAY_SETTINGS)
+        status, out, _ = run("check-settings", str(path))
+        self.assertEqual((status, out[:14]), (0, "valid: host g1"))
+        path.write_text(GATEWAY_SETTINGS.replace("slack = 104", "slack = much"))
+        status, _, err = run("check-settings", str(path))
+        self.assertEqual(status, 1)
+        for text in ("JDS-1206", "gateway.ini", "[retries]", "slack"):
+            self.assertIn(text, err)
+
     def test_misuse_has_a_status(self):
         """Guards against an exit status of 0 for a mistyped command."""
         for argv in (("nosuch",), ("check",), ("check", ENVASES, "x")):
@@ -219,6 +232,53 @@
         )
         self.assertEqual((bad[0], bad[2][:8]), (1, "JDS-5206"))
 
+    async def serve_status(self, **sections):
+        """Serve the status of one gateway and return its address."""
+
+        async def status(request):
+            return web.json_response(sections)
+
+        app = web.Application()
+        app.router.add_get("/status", status)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        return f"127.0.0.1:{runner.addresses[0][1]}"
+
+    async def test_fleet_shows_the_hosts_that_differ(self):
+        """Guards against a host that has not taken a change and is not seen."""
+        same = {
+            "routes": {"version": 7},
+            "settings": {"digest": "a", "file_valid": True, "waiting": []},
+        }
+        hosts = [await self.serve_status(**same) for _ in range(3)]
+        late = await self.serve_status(**{**same, "routes": {"version": 5}})
+        waiting = await self.serve_status(
+            **{**same, "settings": {**same["settings"], "waiting": ["ports.peers"]}}
+        )
+        listed = Path(tempfile.mkdtemp()) / "hosts"
+        self.addCleanup(shutil.rmtree, listed.parent)
+        listed.write_text(f"# all\n{late}\n{waiting}  # x\n\n{self.closed_port}\n")
+        arguments = ("fleet", *hosts, f"--hosts_file={listed}")
+        status, out, err = await self.run_in_thread(*arguments)
+        self.assertEqual((status, err), (0, ""))
+        first, *rows = out.splitlines()
+        self.assertEqual(first, "6 hosts, 2 differ, 1 did not answer")
+        self.assertEqual({r.split()[1] for r in rows[:2]}, {late, waiting})
+        self.assertTrue(rows[2].startswith(f"! {self.closed_port} no answer"))
+        status, out, _ = await self.run_in_thread(*arguments, "--json")
+        found = {row["host"]: row.get("differs") for row in json.loads(out)}
+        self.assertEqual(found[late], ["routes"])
+        self.assertEqual(found[waiting], ["waiting"])
+        self.assertIsNone(found[hosts[0]])
+
+    async def test_fleet_without_hosts(self):
+        """Guards against an empty table that looks like a healthy fleet."""
+        for argv in (("fleet",), ("fleet", "--hosts_file", "/nonexistent/hosts")):
+            status, _, err = await self.run_in_thread(*argv)
+            self.assertEqual((status, err[:8]), (1, "JDS-5201"), argv)
+
     async def test_bad_arguments_are_typed_errors(self):
         """Guards against host names, which need DNS, and names that change the path."""
         for argv in (
--- a/jackdawsill/forwarding/_delegates.py
+++ b/jackdawsill/forwarding/_delegates.py
@@ -39,15 +39,19 @@
 class DelegateTable:
     """Hold the known delegates, and the average answer size of a part per route."""
 
-    __slots__ = ("delegates_", "link_mbps", "offer", "part_bytes_")
+    __slots__ = ("delegates_", "link_mbps", "own", "part_bytes_")
 
     def __init__(self, link_mbps: float, offer: DelegateHost | None) -> None:
         self.link_mbps = link_mbps
-        # This host's own entry as a delegate; None if its link is narrow.
-        self.offer = offer if link_mbps >= WIDE_LINK_MBPS else None
+        self.own = offer
         self.delegates_: dict[str, LiveReplica] = {}
         self.part_bytes_: dict[str, float] = {}
 
+    @property
+    def offer(self) -> DelegateHost | None:
+        """Return this host's own entry as a delegate; None if its link is narrow."""
+        return self.own if self.link_mbps >= WIDE_LINK_MBPS else None
+
     def set_delegates(self, hosts: tuple[DelegateHost, ...], now: float) -> None:
         """Replace the delegates; those that remain keep their observed state."""
         known = self.delegates_
--- a/jackdawsill/gateway/__init__.py
+++ b/jackdawsill/gateway/__init__.py
@@ -5,6 +5,7 @@
 from jackdawsill.gateway._log_events import BAD_ENTRY
 from jackdawsill.gateway._main import run
 from jackdawsill.gateway._process import GatewayProcess
+from jackdawsill.gateway._reload import settings_digest
 from jackdawsill.gateway._settings import GatewaySettings, load_gateway_settings
 from jackdawsill.gateway._store import (
     BaseStore,
@@ -27,4 +28,5 @@
     "build_gateway_state",
     "load_gateway_settings",
     "run",
+    "settings_digest",
 ]
--- a/jackdawsill/gateway/_build.py
+++ b/jackdawsill/gateway/_build.py
@@ -33,17 +33,19 @@
     return join_address(host, ports.inner_first + 1)
 
 
+def forwarding_policy(cfg: GatewaySettings) -> ForwardingPolicy:
+    """Return the times of the decisions about calls."""
+    return ForwardingPolicy(
+        caller_network_s=cfg.calls.caller_network_ms / 1000, grace_s=cfg.host.grace_s
+    )
+
+
 def build_gateway_state(cfg: GatewaySettings, rng: random.Random) -> HostState:
     """Return the state of a new process with all components attached."""
     host = cfg.host
     retries = cfg.retries
     state = HostState(host.name, host.failure_domain, rng)
-    state.attach(
-        ForwardingPolicy(
-            caller_network_s=cfg.calls.caller_network_ms / 1000,
-            grace_s=host.grace_s,
-        )
-    )
+    state.attach(forwarding_policy(cfg))
     state.attach(RouteCatalog())
     state.attach(ReplicaRegistry(host.failure_domain, cfg.regions))
     fleet = FleetSize()
--- a/jackdawsill/gateway/_log_events.py
+++ b/jackdawsill/gateway/_log_events.py
@@ -24,8 +24,9 @@
 GATEWAY_RELOADED = register_log_event(
     5303,
     "gateway_reloaded",
-    "reload of the settings: {outcome}",
-    "The settings file has changed or SIGHUP was received.",
+    "settings reloaded: {n_applied} applied, {n_waiting} wait for a restart",
+    "The settings file has changed or SIGHUP was received. `applied` has the old and "
+    "the new value of each changed setting.",
     logbook.NOTICE,
 )
 BAD_CALL = register_log_event(
@@ -56,3 +57,11 @@
     "The rate limit of the event was exceeded; metrics count every occurrence.",
     logbook.NOTICE,
 )
+RELOAD_REJECTED = register_log_event(
+    5309,
+    "reload_rejected",
+    "kept the settings in use: {detail}",
+    "The settings file is invalid, unreadable or not completely written; one line for "
+    "each problem.",
+    logbook.ERROR,
+)
--- a/jackdawsill/gateway/_main.py
+++ b/jackdawsill/gateway/_main.py
@@ -9,7 +9,8 @@
 import uvloop
 
 from jackdawsill.gateway import _log_events as log_events
-from jackdawsill.gateway._process import GatewayProcess
+from jackdawsill.gateway._process import GatewayProcess, boot_clock
+from jackdawsill.gateway._reload import SettingsFile
 from jackdawsill.gateway._settings import GatewaySettings, load_gateway_settings
 from jackdawsill.gateway._store import BaseStore
 from jackdawsill.http1 import BaseHeaderCodec
@@ -28,42 +29,12 @@
 MakeStore = Callable[[GatewaySettings], BaseStore]
 
 
-class _SettingsFile:
-    """Reload the settings file when it changes or on SIGHUP."""
-
-    def __init__(self, path: str, gateway: GatewayProcess) -> None:
-        self.path = path
-        self.gateway = gateway
-        self.modified_ns_ = self._modified_ns()
-
-    def reload(self) -> None:
-        """Load the file and apply the settings that can change at run time.
-
-        An invalid file is logged and ignored.
-        """
-        try:
-            cfg = load_gateway_settings(self.path)
-        except SettingsInvalid as exc:
-            self.gateway.driver.log(log_events.GATEWAY_RELOADED, outcome=str(exc))
-            return
-        self.gateway.apply(cfg)
-        self.gateway.driver.log(log_events.GATEWAY_RELOADED, outcome="applied")
-
-    async def watch(self) -> None:
-        """Poll the file's modification time and reload after a change."""
-        while True:
-            await asyncio.sleep(SETTINGS_CHECK_INTERVAL_S)
-            modified_ns = self._modified_ns()
-            if modified_ns != self.modified_ns_:
-                self.modified_ns_ = modified_ns
-                self.reload()
-
-    def _modified_ns(self) -> int:
-        try:
-            return os.stat(self.path).st_mtime_ns
-        except OSError:
-            # The file is being replaced; the next check finds the new one.
-            return 0
+async def watch_settings(settings_file: SettingsFile) -> None:
+    """Reload the settings file whenever it has changed."""
+    while True:
+        await asyncio.sleep(SETTINGS_CHECK_INTERVAL_S)
+        if settings_file.has_changed():
+            settings_file.reload()
 
 
 async def run_gateway(
@@ -71,7 +42,8 @@
 ) -> int:
     """Run one gateway until its graceful stop has ended; return the exit status."""
     gateway = GatewayProcess(cfg, header_codec, store)
-    settings_file = _SettingsFile(path, gateway)
+    settings_file = SettingsFile(path, cfg, gateway.state, boot_clock)
+    gateway.settings_status = settings_file.status
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, gateway.request_stop)
@@ -82,7 +54,7 @@
         log_event(log_events.GATEWAY_NOT_STARTED, detail=repr(exc))
         gateway.stop()
         return EXIT_START_FAILED
-    watch_task = loop.create_task(settings_file.watch())
+    watch_task = loop.create_task(watch_settings(settings_file))
     tune_gc()
     await gateway.exited.wait()
     watch_task.cancel()
--- a/jackdawsill/gateway/_operator.py
+++ b/jackdawsill/gateway/_operator.py
@@ -21,7 +21,7 @@
     """Two servers: health check for the load balancer; metrics and status.
 
     The health check has status 200 while the host is ready, else 503.
-    `process_status` returns the section "process" of the status.
+    `process_status` returns the sections of the status about the process.
     """
 
     def __init__(
@@ -101,7 +101,7 @@
             self.status_server.reply(call_id, 200, TEXT_HEADERS, body)
         elif path == b"/status":
             sections = status(self.state, self.clock())
-            sections["process"] = self.process_status()
+            sections |= self.process_status()
             self.status_server.reply(
                 call_id, 200, JSON_HEADERS, msgspec.json.encode(sections)
             )
--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 
 from jackdawsill.core import (
     CloseLink,
@@ -53,7 +54,7 @@
     ReplicaClient,
     end_to_end_headers,
 )
-from jackdawsill.relaying import FollowStore, UpdateFeed
+from jackdawsill.relaying import FollowStore
 from jackdawsill.runtime import (
     Driver,
     InternalFault,
@@ -118,6 +119,8 @@
         self.log_limiter = LogRateLimiter()
         self._suppressed_reported_at = 0.0
         self._exit_task: asyncio.Task | None = None  # keeps it from being collected
+        # Returns the status section "settings"; set by whoever reloads the settings.
+        self.settings_status: Callable[[], dict[str, object]] = dict
         self.operator_servers = OperatorServers(self.state, self._status, boot_clock)
         self.links = LinkSet(self.driver)
         registry = self.state.component(ReplicaRegistry)
@@ -160,11 +163,6 @@
         )
         self.driver.feed(StopRequested())
 
-    def apply(self, cfg: GatewaySettings) -> None:
-        """Apply changed seeds; all other settings need a restart."""
-        self.cfg = cfg
-        self.state.component(UpdateFeed).seeds = cfg.store.seed_addresses()
-
     def stop(self) -> None:
         """Stop at once: close all connections and set `exited`."""
         if self.exited.is_set():
@@ -319,10 +317,12 @@
         self.stop()
 
     def _status(self) -> dict[str, object]:
-        """Return the status section "process"."""
-        return {
+        """Return the status sections "process" and "settings"."""
+        process = {
             "callers": len(self.caller_server.connections),
             "calls_waiting": len(self.caller_server.connections_by_call_),
             "replica_connections": self.replica_client.n_connections,
+            "replica_bytes_held": self.replica_client.n_held_bytes_,
             "store_confirmed_at": self.store_follower.confirmed_at_,
         }
+        return {"process": process, "settings": self.settings_status()}
--- a/jackdawsill/gateway/_settings.py
+++ b/jackdawsill/gateway/_settings.py
@@ -12,10 +12,14 @@
     MissingSetting,
     SettingsCollector,
     SettingsInvalid,
+    UnreadableSettings,
 )
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+Addresses = Annotated[
+    str, msgspec.Meta(pattern=r"^([0-9.]+:[0-9]{1,5}(,[0-9.]+:[0-9]{1,5})*)?$")
+]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=10_000)]
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -61,7 +65,7 @@
     """
 
     address: Address
-    seeds: str = ""
+    seeds: Addresses = ""
     first_start: bool = False
 
     def seed_addresses(self) -> tuple[str, ...]:
@@ -95,7 +99,7 @@
 class GatewayMetrics(msgspec.Struct, frozen=True):
     """Port of the metrics and status; the kernel chooses one if it is 0."""
 
-    port: Port = 0
+    port: Port
 
 
 class GatewaySettings(msgspec.Struct, frozen=True):
@@ -123,10 +127,19 @@
 REGIONS = "regions"
 
 
-def load_gateway_settings(path: str | os.PathLike[str]) -> GatewaySettings:
-    """Return validated settings; raise `SettingsInvalid` with all problems."""
+def load_gateway_settings(
+    path: str | os.PathLike[str], *, is_reload: bool = False
+) -> GatewaySettings:
+    """Return validated settings; raise `SettingsInvalid` with all problems.
+
+    With `is_reload` the last line must be complete, because a file that replaces the
+    one in use may still be being written.
+    """
     collector = SettingsCollector(str(path))
     ini_file = collector.read(Path(path))
+    if is_reload and not collector.problems and not _ends_with_newline(Path(path)):
+        message = "the last line has no end; the file may be incomplete"
+        collector.add(UnreadableSettings, message, 0, "")
     picked = collector.pick_sections(ini_file.sections, [*SECTIONS, REGIONS])
     loaded = {
         name: _load(name, picked.get(name, IniSection(name, 1)), collector)
@@ -141,6 +154,14 @@
     return GatewaySettings(**loaded, regions=regions)
 
 
+def _ends_with_newline(path: Path) -> bool:
+    """Return whether a file ends with a newline; False if it cannot be read."""
+    try:
+        return path.read_bytes().endswith(b"\n")
+    except OSError:
+        return False
+
+
 def _load(name: str, section: IniSection, collector: SettingsCollector) -> Any:
     """Return the typed section, or None after reporting its problems."""
     section_type = SECTIONS[name]
--- a/jackdawsill/gateway/tests/test_settings.py
+++ b/jackdawsill/gateway/tests/test_settings.py
@@ -63,4 +63,5 @@
         text = text.replace("name = g1", "")
         with self.assertRaises(SettingsInvalid) as caught:
             self.load(text)
-        self.assertEqual(len(caught.exception.problems), 5)
+        # The port of the metrics then stands in the unknown section.
+        self.assertEqual(len(caught.exception.problems), 6)
--- a/jackdawsill/http1/_client.py
+++ b/jackdawsill/http1/_client.py
@@ -58,6 +58,8 @@
         self.n_held_bytes_ = 0
         # (replica, incarnation) -> pool
         self.pools_: dict[tuple[str, str], ReplicaPool] = {}
+        # Pools of replicas whose address has changed, until they are empty.
+        self.retired_pools_: list[ReplicaPool] = []
         self.connections_by_attempt_: dict[
             int, ReplicaConnection
         ] = {}  # sent attempts only
@@ -75,7 +77,7 @@
             self._check_handle.cancel()
         for task in self._tasks:
             task.cancel()
-        for pool in self.pools_.values():
+        for pool in (*self.pools_.values(), *self.retired_pools_):
             for conn in list(pool.connections):
                 conn.attempt = None
                 conn.close()
@@ -95,8 +97,10 @@
         key = (replica, incarnation)
         pool = self.pools_.get(key)
         if pool is None or pool.address != address:
-            # A replaced pool still finishes its attempts; the replica has to close its
-            # idle connections.
+            if pool is not None:
+                # It finishes its attempts, and then closes its connections.
+                pool.retire()
+                self.retired_pools_.append(pool)
             pool = self.pools_[key] = ReplicaPool(self, replica, address)
         return pool
 
@@ -155,13 +159,15 @@
     @property
     def n_connections(self) -> int:
         """Return the number of open connections."""
-        return sum(len(pool.connections) for pool in self.pools_.values())
+        pools = (*self.pools_.values(), *self.retired_pools_)
+        return sum(len(pool.connections) for pool in pools)
 
     def _close_expired(self) -> None:
         now = self.clock()
         for key, pool in list(self.pools_.items()):
             pool.close_expired(now)
-            if not (pool.connections or pool.waiting or pool.n_opening):
+            if pool.is_empty:
                 del self.pools_[key]
+        self.retired_pools_ = [p for p in self.retired_pools_ if not p.is_empty]
         loop = asyncio.get_running_loop()
         self._check_handle = loop.call_later(IDLE_CHECK_INTERVAL_S, self._close_expired)
--- a/jackdawsill/http1/_connection.py
+++ b/jackdawsill/http1/_connection.py
@@ -60,7 +60,7 @@
         self.attempt: SendAttempt | None = None
         self.idle_since = 0.0
         self.idle_until = 0.0
-        self.idle_timeout_s = NEVER_USED_IDLE_TIMEOUT_S  # until a Keep-Alive header
+        self.idle_timeout_s = NEVER_USED_IDLE_TIMEOUT_S
         self.must_close = False
         self.is_reused = False
         self.n_held_bytes = 0
@@ -86,8 +86,8 @@
         """Send an attempt over this idle connection."""
         self.attempt = attempt
         self.meter.start_request()
-        # First use: without a Keep-Alive header the default applies from now on.
-        if self.idle_timeout_s == NEVER_USED_IDLE_TIMEOUT_S:
+        if not self.is_reused:
+            # Without a Keep-Alive header the default applies from now on.
             self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.transport.write(data)
 
--- a/jackdawsill/http1/_pool.py
+++ b/jackdawsill/http1/_pool.py
@@ -36,6 +36,7 @@
         "client",
         "connections",
         "idle",
+        "is_retired",
         "n_opening",
         "replica",
         "waiting",
@@ -47,9 +48,20 @@
         self.address = address
         self.connections: set[ReplicaConnection] = set()
         self.idle: list[ReplicaConnection] = []
+        self.is_retired = False
         self.n_opening = 0
         self.waiting: deque[SendAttempt] = deque()
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the pool has no connections and no attempts."""
+        return not (self.connections or self.waiting or self.n_opening)
+
+    def retire(self) -> None:
+        """Close each connection as soon as it is idle."""
+        self.is_retired = True
+        self.close_idle()
+
     def submit(self, attempt: SendAttempt) -> None:
         """Send over an idle connection, or queue and open one if allowed."""
         now = self.client.clock()
@@ -120,6 +132,9 @@
         if self.waiting:
             self._write(conn, self.waiting.popleft())
             return
+        if self.is_retired:
+            self.discard(conn)
+            return
         if conn not in self.idle:
             max_idle_s = max(0.5, conn.idle_timeout_s - IDLE_MARGIN_S)
             conn.idle_since = self.client.clock()
--- a/jackdawsill/http1/tests/test_endless.py
+++ b/jackdawsill/http1/tests/test_endless.py
@@ -78,6 +78,7 @@
     def __init__(self, first: bytes, again: bytes) -> None:
         self.first = first
         self.again = again
+        self.headers = b""  # of normal answers, besides the id and the length
         self.n_normal = 0
         self.is_unasked = False
         self.is_endless = True
@@ -108,8 +109,8 @@
                 if self.is_endless and n_answered >= self.n_normal:
                     break
                 number = head.partition(b"Id: ")[2].partition(b"\r\n")[0] or b"1"
-                answer = b"HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok"
-                writer.write(answer % number)
+                answer = b"HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: 2\r\n\r\nok"
+                writer.write(answer % (number, self.headers))
                 n_answered += 1
             writer.write(self.first)
             while self.n_sent < SENT_BYTES_MAX:
@@ -214,6 +215,47 @@
                 await self.stop()
 
 
+class TestConnections(_EndlessCase):
+    """Connections are kept as long as the replica states, and none is forgotten."""
+
+    async def test_changed_address(self):
+        """Guards against connections to an old address that are never closed."""
+        await self.start("no response")
+        self.server.is_endless = False
+        other = _EndlessServer(*ENDLESS["no response"])
+        other.is_endless = False
+        old_address, self.address = self.address, await other.start()
+        new_address, self.address = self.address, old_address
+        self.client.start()
+        self.send(1)
+        await eventually(lambda: self.server.n_open)
+        self.address = new_address
+        self.send(2)
+        await eventually(lambda: len(self.ends) == 2)
+        await eventually(lambda: not self.server.n_open)
+        self.assertEqual(other.n_open, 1)
+        self.assertEqual(self.client.n_connections, 1)
+        await other.stop()
+        await self.stop()
+
+    async def test_stated_idle_timeout_of_a_minute(self):
+        """Guards against a stated timeout that is replaced by the default."""
+        await self.start("no response")
+        self.server.is_endless = False
+        self.server.headers = b"Keep-Alive: timeout=60\r\n"
+        for number in (1, 2):
+            self.send(number)
+            await eventually(lambda n=number: len(self.ends) == n)
+        (conn,) = self.client.pools_["i-1", ""].idle
+        self.assertEqual(conn.idle_timeout_s, 60.0)
+        self.server.headers = b""
+        self.send(3)
+        await eventually(lambda: len(self.ends) == 3)
+        (conn,) = self.client.pools_["i-1", ""].idle
+        self.assertEqual(conn.idle_timeout_s, 60.0)
+        await self.stop()
+
+
 class TestManyEndlessReplicas(_EndlessCase):
     """Many endless responses together stay within the memory limit."""
 
