State what a relay has just read as current

Change: a read or a watch that returned is confirmed first, in the same step.

Result: a test of both messages failed before (30.0 s stated instead of 0.0).

--- a/jackdawsill/gateway/_follower.py
+++ b/jackdawsill/gateway/_follower.py
@@ -107,10 +107,11 @@
         snapshot = await self.store.read()
         self._on_answer()
         self.needs_full_read_ = False
+        # First, so that what a relay sends on is not stated to be old.
+        self.feed(StoreConfirmed(snapshot.revision))
         if snapshot.routes is not None:
             self.feed(RoutesRead(snapshot.routes, STORE))
         self.feed(ReplicasListed(snapshot.entries, snapshot.revision, STORE))
-        self.feed(StoreConfirmed(snapshot.revision))
 
     async def _watch_once(self) -> None:
         base = self.known_revision() or 0
@@ -121,6 +122,9 @@
         self._last_pause_s = 0.0
         changes = await self.store.watch(base, wait_s)
         self._on_answer()
+        # Confirm the old revision after an empty result. A store that delays changes
+        # may state a newer revision, and a watch from there would skip them.
+        self.feed(StoreConfirmed(base if changes.is_empty else changes.revision))
         if changes.written or changes.removed:
             self.feed(
                 ReplicasChanged(
@@ -130,11 +134,7 @@
         if changes.routes is not None:
             self.feed(RoutesRead(changes.routes, STORE))
         if changes.is_empty:
-            # Keep the old revision. A store that delays changes may return an empty
-            # result with a newer revision, and a watch from there would skip them.
-            self.feed(StoreConfirmed(base))
             return
-        self.feed(StoreConfirmed(changes.revision))
         self._last_pause_s = BATCHING_PAUSE_S
         await self._pause(BATCHING_PAUSE_S)
 
--- /dev/null
+++ b/jackdawsill/gateway/tests/test_follower.py
@@ -0,0 +1,89 @@
+"""What a relay sends on when it has read the store after a silence."""
+
+import random
+import tempfile
+import unittest
+from pathlib import Path
+
+from jackdawsill.core import PeerMessageRead, SendPeer, reduce
+from jackdawsill.forwarding import ReplicaEntry, ReplicaRegistry, RouteSet
+from jackdawsill.gateway import (
+    BaseStore,
+    StoreChanges,
+    StoreFollower,
+    StoreSnapshot,
+    build_gateway_state,
+    load_gateway_settings,
+)
+from jackdawsill.gateway.tests.test_settings import VALID
+from jackdawsill.relaying import NewsChange, NewsSnapshot, NewsWanted
+
+SILENCE_S = 30.0
+ROUTES = RouteSet(4, (), {})
+
+
+def entry(name: str) -> ReplicaEntry:
+    """Return the entry of a replica."""
+    return ReplicaEntry(name, "docs", "10.0.0.1:80", "near-a", 2)
+
+
+class _FakeStore(BaseStore):
+    """Store with one replica, and one change."""
+
+    async def read(self) -> StoreSnapshot:
+        """Return the replica."""
+        return StoreSnapshot(ROUTES, (entry("r1"),), 7)
+
+    async def watch(self, revision: int, wait_s: float) -> StoreChanges:
+        """Return another replica."""
+        return StoreChanges(RouteSet(5, (), {}), (entry("r2"),), (), 8)
+
+
+class TestRelayedAge(unittest.IsolatedAsyncioTestCase):
+    """What was just read is passed on as current."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.sent: list = []
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "gateway.ini"
+            path.write_text(VALID, encoding="utf-8")
+            cfg = load_gateway_settings(path)
+        self.state = build_gateway_state(cfg, random.Random(1))
+        registry = self.state.component(ReplicaRegistry)
+        self.follower = StoreFollower(
+            _FakeStore(),
+            self.feed,
+            lambda: registry.revision_,
+            random.Random(1),
+            lambda: self.now,
+        )
+        self.follower._pause = self.skip_pause
+
+    async def skip_pause(self, delay_s: float) -> None:
+        """Replace the pause after a change."""
+
+    def feed(self, event) -> None:
+        """Reduce an event and keep the messages to other hosts."""
+        for effect in reduce(self.state, event, self.now):
+            if isinstance(effect, SendPeer):
+                self.sent.append(effect.message)
+
+    async def test_after_a_silence(self):
+        """Guards against a fleet that turns to the store after it is readable again.
+
+        A message stated as old leaves its readers without a current source.
+        """
+        await self.follower._read_all()
+        self.feed(PeerMessageRead(1, NewsWanted(0, 0)))
+        for read, kind in (
+            (self.follower._read_all, NewsSnapshot),
+            (self.follower._watch_once, NewsChange),
+        ):
+            self.now += SILENCE_S
+            self.sent.clear()
+            await read()
+            with self.subTest(kind=kind):
+                ages = [m.age_s for m in self.sent if isinstance(m, kind)]
+                self.assertTrue(ages)
+                self.assertEqual(set(ages), {0.0})
