--- a/jackdawsill/forwarding/tests/test_single.py
+++ b/jackdawsill/forwarding/tests/test_single.py
@@ -10,6 +10,8 @@
     RefuseCall,
     ReplicaRefused,
     ReplicaRegistry,
+    ReplicasChanged,
+    ReplicasListed,
 )
 from jackdawsill.forwarding._errors import AttemptsFailed, NoReplica, NoSuchRoute
 from jackdawsill.forwarding.tests._gateway_model import (
@@ -49,6 +51,31 @@
                 self.host.fail(send, kind)
                 self.assertEqual(len(self.host.sent), n_before + 1)
 
+    def test_running_at_a_replica_whose_entry_is_removed(self):
+        """Guards against giving up, or repeating, what a silent replica still runs."""
+        registry = self.host.state.component(ReplicaRegistry)
+        for call_id, is_listed in enumerate((False, True)):
+            with self.subTest(is_listed=is_listed):
+                (send,) = self.host.call(b"/fetch/1", call_id=call_id, deadline_s=4.0)
+                n_before = len(self.host.sent)
+                revision = registry.revision_ + 1
+                if is_listed:
+                    others = tuple(
+                        replica.entry
+                        for name, replica in registry.replicas_.items()
+                        if name != send.replica
+                    )
+                    self.host.feed(ReplicasListed(others, revision, "store"))
+                else:
+                    change = ReplicasChanged((), (send.replica,), revision, "store")
+                    self.host.feed(change)
+                self.assertNotIn(send.replica, registry.replicas_)
+                self.host.advance(2.0)
+                self.host.answer(send, b"late")
+                self.assertEqual(len(self.host.sent), n_before)
+                self.assertEqual(self.host.aborted, [])
+                self.assertEqual(self.host.replies[-1].answer.body, b"late")
+
     def test_never_hedged(self):
         """Guards against a second run of a slow call."""
         self.host.call(b"/fetch/1")
