Log a stopped event loop, and show the bytes sent to other hosts

Before, only the platform's monitoring showed either. A tick that is more than 0.1 s late is logged as loop-lagged; the status has the bytes sent to other hosts and those that wait. Test: test_stopped_loop_is_logged.

--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -323,6 +323,8 @@
             "calls_waiting": len(self.caller_server.connections_by_call_),
             "replica_connections": self.replica_client.n_connections,
             "replica_bytes_held": self.replica_client.n_held_bytes_,
+            "peer_bytes_sent": self.links.n_bytes_sent_,
+            "peer_bytes_unsent": self.links.n_unsent_bytes,
             "store_confirmed_at": self.store_follower.confirmed_at_,
         }
         return {"process": process, "settings": self.settings_status()}
--- a/jackdawsill/runtime/_driver.py
+++ b/jackdawsill/runtime/_driver.py
@@ -24,12 +24,15 @@
 from jackdawsill.runtime._log_events import (
     EFFECT_FAILED,
     HANDLER_FAILED,
+    LOOP_LAGGED,
     UNKNOWN_EFFECT,
 )
 
 # Resolution of the event loop's timers (1 ms). Delays are rounded up to it, because
 # the loop would spin until the timer is due if they were rounded down.
 LOOP_RESOLUTION_S = 0.001
+# A tick that is later than this is logged: callers wait for the host that long.
+LOOP_LAG_LOGGED_S = 0.1
 
 EffectHandler = Callable[[Any], None]
 
@@ -50,6 +53,7 @@
         "_loop",
         "_next_wake_at",
         "_queue",
+        "_tick_due_at",
         "_tick_handle",
         "_timer_handle",
         "clock",
@@ -82,6 +86,7 @@
         self._timer_handle: asyncio.TimerHandle | None = None
         self._next_wake_at = 0.0
         self._tick_handle: asyncio.TimerHandle | None = None
+        self._tick_due_at = math.inf
 
     def start(self) -> None:
         """Start the periodic ticks and the timers; needs a running loop."""
@@ -145,6 +150,11 @@
         assert self._loop is not None
         if self.stopped_:
             return
+        now = self.clock()
+        lag_s = now - self._tick_due_at
+        if lag_s > LOOP_LAG_LOGGED_S:
+            self.log(LOOP_LAGGED, lag_s=round(lag_s, 3))
+        self._tick_due_at = now + TICK_INTERVAL_S
         self._tick_handle = self._loop.call_later(TICK_INTERVAL_S, self._tick)
         self.feed(Tick())
 
--- a/jackdawsill/runtime/_links.py
+++ b/jackdawsill/runtime/_links.py
@@ -98,6 +98,7 @@
     def __init__(self, driver: Driver) -> None:
         self.driver = driver
         self.port_ = 0
+        self.n_bytes_sent_ = 0
         self._links: dict[int, _Link] = {}
         self._opening: dict[int, asyncio.Task] = {}
         self._server: asyncio.Server | None = None
@@ -108,6 +109,13 @@
         """Return the number of open links."""
         return len(self._links)
 
+    @property
+    def n_unsent_bytes(self) -> int:
+        """Return the number of bytes that wait in the buffers of all links."""
+        return sum(
+            link.transport.get_write_buffer_size() for link in self._links.values()
+        )
+
     async def start(self, sock: socket.socket) -> None:
         """Listen for peers on a bound socket."""
         self.port_ = sock.getsockname()[1]
@@ -171,6 +179,7 @@
             data = encode(effect.message)
             self._last_encoded = (effect.message, data)
         link.transport.write(data)
+        self.n_bytes_sent_ += len(data)
         if link.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             link.abort(f"more than {MAX_UNSENT_BYTES} bytes unsent")
 
--- a/jackdawsill/runtime/_log_events.py
+++ b/jackdawsill/runtime/_log_events.py
@@ -32,3 +32,11 @@
     "A peer sent an invalid message, or did not read the messages sent to it.",
     logbook.WARNING,
 )
+LOOP_LAGGED = register_log_event(
+    5013,
+    "loop-lagged",
+    "the event loop was busy or stopped for {lag_s} s",
+    "Requests received in that time were read late. A process that used little "
+    "processor time was paused.",
+    logbook.NOTICE,
+)
--- a/jackdawsill/runtime/tests/test_driver.py
+++ b/jackdawsill/runtime/tests/test_driver.py
@@ -18,6 +18,7 @@
 )
 from jackdawsill.daemon import Driver
 from jackdawsill.daemon.tests._fixtures import WAIT_S
+from jackdawsill.runtime._log_events import LOOP_LAGGED
 
 
 class TestDriver(unittest.IsolatedAsyncioTestCase):
@@ -74,6 +75,16 @@
         await self.wait_for(2)
         self.assertEqual([timer_id for timer_id, _ in self.fired], ["other", "moved"])
 
+    async def test_stopped_loop_is_logged(self):
+        """Guards against requests that were read late without a trace in the log."""
+        with mock.patch.object(Driver, "log") as log:
+            self.now += 0.1
+            self.driver._tick()
+            log.assert_not_called()
+            self.now += 0.7
+            self.driver._tick()
+        log.assert_called_once_with(LOOP_LAGGED, lag_s=0.6)
+
     async def test_no_timer_fires_early(self):
         """Guards against a handler called with a `now` before its deadline."""
         self.step_per_read_s = 0.0002
