--- a/jackdawsill/relaying/tests/_fleet.py
+++ b/jackdawsill/relaying/tests/_fleet.py
@@ -93,6 +93,7 @@
         self.follows = False
         self.reaches_store = True
         self.n_reads = 0
+        self.n_bytes_sent = 0
 
     def handle(self, event) -> None:
         """Reduce an event and carry out its effects."""
@@ -186,7 +187,9 @@
         end = self.ends.get((host, link_id))
         is_muted = end and frozenset((host.address, end[0].address)) in self.muted
         if end is not None and not is_muted:
-            (copy,) = Decoder().feed(encode(message))
+            data = encode(message)
+            host.n_bytes_sent += len(data)
+            (copy,) = Decoder().feed(data)
             self.queue.append((end[0], PeerMessageRead(end[1], copy)))
 
     def stop(self, address: str) -> None:
