Send hosts only what a configuration changes, compressed

Callers saw 504 and late answers for six seconds after a configuration with 1,400 more routes, and replicas ran fan-outs with more time than their callers had left (BUDGET).

Cause: a relay sent the whole configuration, 0.9 MB for 4,250 routes, to each of 32 subscribers at once. Its link was full for 2.3 s. Attempts that it sent for other hosts as their delegate waited in that queue, after their time left was written into them.

Change: routes travel as the difference from the version before, in one compressed form that is made once for all receivers.

Invalid or endless data close the link, with a log line.

--- a/jackdawsill/relaying/_feed.py
+++ b/jackdawsill/relaying/_feed.py
@@ -2,8 +2,9 @@
 
 from enum import StrEnum
 
-from jackdawsill.forwarding import DelegateHost
+from jackdawsill.forwarding import DelegateHost, RouteSet
 from jackdawsill.relaying._messages import NewsSnapshot
+from jackdawsill.relaying._route_codec import PackedRoutes, pack_routes
 
 # Interval between heartbeats to subscribers.
 HEARTBEAT_INTERVAL_S = 0.4
@@ -59,6 +60,7 @@
         "heartbeat_sent_at_",
         "is_first_start",
         "opening_",
+        "packed_routes_",
         "peer_relays_",
         "relay_address_",
         "relay_link_id_",
@@ -66,6 +68,7 @@
         "relay_subscribers_",
         "relays_checked_at_",
         "reported_delegates_",
+        "routes_",
         "seeds",
         "snapshot_requested_revision_",
         "stale_snapshot_",
@@ -108,6 +111,9 @@
         # Link -> delegates reported by its host: itself, and by a relay also others.
         self.reported_delegates_: dict[int, tuple[DelegateHost, ...]] = {}
         self.has_reported_ = False
+        # Last configuration that was broadcast, and its complete packed form.
+        self.routes_: RouteSet | None = None
+        self.packed_routes_: PackedRoutes | None = None
 
     @property
     def is_relay(self) -> bool:
@@ -125,6 +131,15 @@
         if self.confirmed_at_ is None or at > self.confirmed_at_:
             self.confirmed_at_ = at
 
+    def pack_all(self, routes: RouteSet | None) -> PackedRoutes | None:
+        """Return all routes packed; the result is kept for the next subscriber."""
+        if routes is None:
+            return None
+        packed = self.packed_routes_
+        if packed is None or packed.version != routes.version:
+            packed = self.packed_routes_ = pack_routes(None, routes)
+        return packed
+
     def waits_for_current_state(self, now: float) -> bool:
         """Return whether a started host should not use old state of a relay yet."""
         return now < (self.started_at_ or now) + STALE_START_WAIT_S
--- a/jackdawsill/relaying/_handlers.py
+++ b/jackdawsill/relaying/_handlers.py
@@ -48,6 +48,7 @@
     NewsSnapshot,
     NewsWanted,
 )
+from jackdawsill.relaying._route_codec import pack_routes
 from jackdawsill.relaying._updates import (
     apply_update,
     broadcast_change,
@@ -67,12 +68,25 @@
 
 @handles(RoutesRead, needs=UpdateFeed)
 def on_routes(state: HostState, event: RoutesRead, now: float) -> list[Effect]:
-    """Relay a configuration if it was accepted."""
+    """Relay what an accepted configuration changes."""
     if state.component(RouteCatalog).routes_ is not event.routes:
         return []
-    return broadcast_change(
-        state, NewsChange(event.routes, (), (), 0, 0, 0.0, False), now
-    )
+    feed = state.component(UpdateFeed)
+    before, feed.routes_ = feed.routes_, event.routes
+    if not feed.subscribers_:
+        return []
+    packed = pack_routes(before, event.routes)
+    fields = {
+        "version": packed.version,
+        "base": packed.base,
+        "n_bytes": len(packed.data),
+        "n_subscribers": len(feed.subscribers_),
+    }
+    change = NewsChange(packed, (), (), 0, 0, 0.0, False)
+    return [
+        LogEvent(log_events.ROUTES_RELAYED, fields),
+        *broadcast_change(state, change, now),
+    ]
 
 
 @handles(ReplicasChanged, needs=UpdateFeed)
--- a/jackdawsill/relaying/_log_events.py
+++ b/jackdawsill/relaying/_log_events.py
@@ -25,3 +25,17 @@
     "gave up relay {address} in state {state}, {age_s} s after the start of connecting",
     "The relay did not answer, or its updates were too old.",
 )
+ROUTES_RELAYED = register_log_event(
+    2603,
+    "routes_relayed",
+    "configuration {version} relayed to {n_subscribers} hosts in {n_bytes} bytes each",
+    "The host sent what changed since version `base` to its subscribers; base 0 stands "
+    "for all routes.",
+)
+ROUTES_INVALID = register_log_event(
+    2604,
+    "routes_invalid",
+    "link {link_id} closed: invalid routes of version {version}: {detail}",
+    "A peer sent routes that cannot be decompressed or decoded.",
+    logbook.WARNING,
+)
--- a/jackdawsill/relaying/_messages.py
+++ b/jackdawsill/relaying/_messages.py
@@ -3,8 +3,9 @@
 In `routes`, None means that the configuration is unchanged or not known.
 """
 
-from jackdawsill.forwarding import DelegateHost, ReplicaEntry, RouteSet
+from jackdawsill.forwarding import DelegateHost, ReplicaEntry
 from jackdawsill.peers import PeerMessage, register_message
+from jackdawsill.relaying._route_codec import PackedRoutes
 
 
 @register_message("NewsWanted")
@@ -24,7 +25,7 @@
 class NewsSnapshot(PeerMessage):
     """All routes and replicas of the sender, which were current `age_s` seconds ago."""
 
-    routes: RouteSet | None
+    routes: PackedRoutes | None
     entries: tuple[ReplicaEntry, ...]
     revision: int
     age_s: float
@@ -38,7 +39,7 @@
     store was unreachable.
     """
 
-    routes: RouteSet | None
+    routes: PackedRoutes | None
     written: tuple[ReplicaEntry, ...]
     removed: tuple[str, ...]
     base: int
--- a/jackdawsill/relaying/_updates.py
+++ b/jackdawsill/relaying/_updates.py
@@ -1,6 +1,13 @@
 """Updates: their construction, and their application on the receiving host."""
 
-from jackdawsill.core import CloseLink, Effect, EmitEvent, HostState, SendPeer
+from jackdawsill.core import (
+    CloseLink,
+    Effect,
+    EmitEvent,
+    HostState,
+    LogEvent,
+    SendPeer,
+)
 from jackdawsill.forwarding import (
     PEER,
     FleetSize,
@@ -10,6 +17,7 @@
     RouteCatalog,
     RoutesRead,
 )
+from jackdawsill.relaying import _log_events as log_events
 from jackdawsill.relaying._feed import STALE_S, UpdateFeed, UpstreamState
 from jackdawsill.relaying._helpers import own_delegate
 from jackdawsill.relaying._messages import (
@@ -18,6 +26,11 @@
     NewsSnapshot,
     NewsWanted,
 )
+from jackdawsill.relaying._route_codec import (
+    PackedRoutes,
+    RoutesInvalid,
+    unpack_routes,
+)
 
 # Stands for an unknown age of the state, which is infinite.
 UNKNOWN_AGE_S = 1e6
@@ -41,11 +54,11 @@
         effects = _apply_snapshot(state, link_id, message, now)
     elif isinstance(message, NewsChange):
         revision = state.component(ReplicaRegistry).revision_
-        if revision is not None and message.base > revision:
-            routes = message.routes
-            received = [] if routes is None else [EmitEvent(RoutesRead(routes, PEER))]
-            return [*received, _request_snapshot(state, link_id)]
-        effects = _apply_change(state, message)
+        is_behind = revision is not None and message.base > revision
+        if is_behind or _lacks_base(state, message.routes):
+            effects = _read_routes(state, link_id, message.routes)
+            return [*effects, _request_snapshot(state, link_id)]
+        effects = _apply_change(state, link_id, message)
     elif isinstance(message, NewsBeat):
         if _is_lacking(state, message):
             feed.snapshot_requested_revision_ = message.revision
@@ -78,9 +91,7 @@
         if link_id != feed.relay_link_id_:
             return []
         return list(map(CloseLink, feed.disconnect_relay(now, feed.relay_address_)))
-    effects: list[Effect] = []
-    if message.routes is not None:
-        effects.append(EmitEvent(RoutesRead(message.routes, PEER)))
+    effects = _read_routes(state, link_id, message.routes)
     # Revision 0 means that the sender has no replicas from the store yet.
     is_newer = message.revision > (revision or 0)
     if is_newer or (was_requested and message.revision == revision):
@@ -105,13 +116,36 @@
     return _apply_snapshot(state, 0, snapshot, now)
 
 
-def _apply_change(state: HostState, message: NewsChange) -> list[Effect]:
+def _read_routes(
+    state: HostState, link_id: int, packed: PackedRoutes | None
+) -> list[Effect]:
+    """Read newer routes, unless they change a version that is not known here."""
+    catalog = state.component(RouteCatalog)
+    if packed is None or packed.version <= catalog.version:
+        return []
+    try:
+        routes = unpack_routes(packed, catalog.routes_)
+    except RoutesInvalid as exc:
+        fields = {"link_id": link_id, "version": packed.version, "detail": str(exc)}
+        return [LogEvent(log_events.ROUTES_INVALID, fields), CloseLink(link_id)]
+    return [] if routes is None else [EmitEvent(RoutesRead(routes, PEER))]
+
+
+def _lacks_base(state: HostState, packed: PackedRoutes | None) -> bool:
+    """Return whether newer routes change a version that is not known here."""
+    version = state.component(RouteCatalog).version
+    return (
+        packed is not None
+        and packed.version > version
+        and packed.base not in (0, version)
+    )
+
+
+def _apply_change(state: HostState, link_id: int, message: NewsChange) -> list[Effect]:
     """Apply a change that follows what this host knows."""
     registry = state.component(ReplicaRegistry)
     revision = registry.revision_
-    effects: list[Effect] = []
-    if message.routes is not None:
-        effects.append(EmitEvent(RoutesRead(message.routes, PEER)))
+    effects = _read_routes(state, link_id, message.routes)
     is_new = revision is not None and message.revision > revision
     # Removals of expired entries have no new revision; they are new if an entry is
     # still present. Entries that may have lapsed stay present for a while, so
@@ -202,7 +236,7 @@
     """Return all routes and replicas of this host."""
     registry = state.component(ReplicaRegistry)
     entries = tuple(replica.entry for replica in registry.replicas_.values())
-    age_s = min(state.component(UpdateFeed).age_s(now), UNKNOWN_AGE_S)
-    return NewsSnapshot(
-        state.component(RouteCatalog).routes_, entries, registry.revision_ or 0, age_s
-    )
+    feed = state.component(UpdateFeed)
+    age_s = min(feed.age_s(now), UNKNOWN_AGE_S)
+    routes = feed.pack_all(state.component(RouteCatalog).routes_)
+    return NewsSnapshot(routes, entries, registry.revision_ or 0, age_s)
