Keep to the limit that a replica states, each host with its share

What replicas saw: 102 to 127 requests in 4 s where they had stated that they take 12 to 18 a second. Cause: nothing read the limit; hosts sent as if there were none.

Change: the header is read from every answer and refusal. A host takes the limit divided by the number of hosts, which relays already count with a margin of a quarter, in time slots at a random phase; an unused slot is lost after 1.5 s. So the sum stays below the tolerated rate whatever the load of each host, after an idle time, and while some hosts are cut off and keep the last count. A replica without a free slot is not chosen, also not for hedges and retries. A fan-out leaves such a part out, and a call that cannot be served is refused at once, before anything runs, with the time of the next slot as Retry-After. An answer without the header, to an attempt sent later, ends the limit.

--- a/jackdawsill/forwarding/_admit.py
+++ b/jackdawsill/forwarding/_admit.py
@@ -1,5 +1,7 @@
 """Admission of calls: route, deadline and first attempts."""
 
+import math
+
 from jackdawsill.core import Effect, HostState, LogEvent, handles
 from jackdawsill.exceptions import JackdawsillError
 from jackdawsill.forwarding import _errors as errors
@@ -109,12 +111,21 @@
     if now >= call.deadline_at:
         return errors.ExpiredUnsent("the deadline had passed on arrival")
     registry = state.component(ReplicaRegistry)
+    n_needed = n_parts_needed(call)
     n_known = sum(bool(registry.by_service_.get(p.service)) for p in call.parts)
-    if n_known >= n_parts_needed(call):
+    if n_known < n_needed:
+        return errors.NoReplica(
+            f"replicas are known for {n_known} of {len(call.parts)} services",
+            retry_after_ms=int(1000 * RETRY_AFTER_UNKNOWN_S),
+        )
+    available = sorted(registry.available_at(p.service, now) for p in call.parts)
+    wait_s = available[n_needed - 1] - now
+    if wait_s <= 0:
         return None
-    return errors.NoReplica(
-        f"replicas are known for {n_known} of {len(call.parts)} services",
-        retry_after_ms=int(1000 * RETRY_AFTER_UNKNOWN_S),
+    return errors.RateLimited(
+        f"limits of replicas allow {sum(at <= now for at in available)} of "
+        f"{len(call.parts)} parts now, {n_needed} needed",
+        retry_after_ms=math.ceil(1000 * wait_s),
     )
 
 
--- a/jackdawsill/forwarding/_attempt_handlers.py
+++ b/jackdawsill/forwarding/_attempt_handlers.py
@@ -29,7 +29,9 @@
     CrashConfirmed,
     ReplicaRefused,
 )
+from jackdawsill.forwarding._fleet import FleetSize
 from jackdawsill.forwarding._model import ReplicaAnswer
+from jackdawsill.forwarding._rate_share import update_share
 from jackdawsill.forwarding._registry import ReplicaRegistry
 from jackdawsill.forwarding._replica import LiveReplica
 from jackdawsill.forwarding._replies import (
@@ -79,6 +81,17 @@
     part.n_maybe_run += 1
     if call.is_delegated:
         return _on_delegated_answer(state, attempt, answer, now)
+    return [
+        *_update_limit(state, attempt, answer.limit_per_s, now),
+        *_use_answer(state, attempt, answer, now),
+    ]
+
+
+def _use_answer(
+    state: HostState, attempt: Attempt, answer: ReplicaAnswer, now: float
+) -> list[Effect]:
+    """Update what is known of the replica, and use its answer or retry the part."""
+    part, call = attempt.part, attempt.part.call
     table = state.component(CallTable)
     latency_s = max(0.0, now - attempt.sent_at - attempt.rtt_s)
     if answer.succeeded or answer.status < 500:
@@ -102,6 +115,32 @@
     return [*effects, *_retry_or_fail(state, part, now, not_run=False)]
 
 
+def _update_limit(
+    state: HostState, attempt: Attempt, limit_per_s: float | None, now: float
+) -> list[Effect]:
+    """Take over the limit that a replica states, or its end."""
+    replica = attempt.replica
+    before = replica.rate_share
+    limit_before = None if before is None else before.limit_per_s
+    n_hosts = state.component(FleetSize).divisor(now)
+    replica.rate_share = update_share(
+        before, limit_per_s, attempt.sent_at, n_hosts, now, state.rng
+    )
+    share = replica.rate_share
+    limit = None if share is None else share.limit_per_s
+    if limit == limit_before:
+        return []
+    fields = {
+        "replica": replica.entry.name,
+        "service": replica.entry.service,
+        "request": attempt.part.call.req.request_id.decode("latin-1"),
+        "limit_per_s": limit,
+        "before": limit_before,
+        "n_hosts": n_hosts,
+    }
+    return [LogEvent(log_events.LIMIT_CHANGED, fields)]
+
+
 def _on_delegated_answer(
     state: HostState, attempt: Attempt, answer: ReplicaAnswer, now: float
 ) -> list[Effect]:
@@ -122,6 +161,8 @@
         return []
     part, call, kind = attempt.part, attempt.part.call, event.kind
     effects = _update_replica(state, attempt, kind, now)
+    if event.limit_per_s is not None:
+        effects += _update_limit(state, attempt, event.limit_per_s, now)
     not_run = kind in NOT_RUN_KINDS
     if not_run:
         part.n_not_run += 1
--- a/jackdawsill/forwarding/_dispatch.py
+++ b/jackdawsill/forwarding/_dispatch.py
@@ -120,7 +120,9 @@
     replica = registry.pick(part.service, part.tried, typical, now, state.rng)
     if replica is None:
         part.failed = True
-        part.outcome = "no replica"
+        part.outcome = "no replica within its limit"
+        if registry.available_at(part.service, now) <= now:
+            part.outcome = "no replica"
         return []
     entry = replica.entry
     rtt_s = registry.rtt_s(entry.failure_domain)
@@ -128,6 +130,7 @@
     part.attempts[attempt.attempt_id] = attempt
     part.tried.add(entry.name)
     replica.in_flight += 1
+    registry.take_slot(replica, now)
     state.component(CallTable).attempts_[attempt.attempt_id] = attempt
     if not is_hedge:
         if not call.hedge_delay_s:
--- a/jackdawsill/forwarding/_events.py
+++ b/jackdawsill/forwarding/_events.py
@@ -40,6 +40,7 @@
     attempt_id: int
     kind: FailureKind
     detail: str = ""
+    limit_per_s: float | None = None  # rate that the replica takes from all hosts
 
 
 class RoutesRead(Event):
--- a/jackdawsill/forwarding/_log_events.py
+++ b/jackdawsill/forwarding/_log_events.py
@@ -92,3 +92,11 @@
     "The same request crashed several replicas; it is not sent to another one.",
     logbook.WARNING,
 )
+LIMIT_CHANGED = register_log_event(
+    2513,
+    "limit_changed",
+    "replica {replica} takes {limit_per_s} requests a second, before {before}",
+    "The replica stated how many requests it takes from all hosts together, or no "
+    "longer states a limit. This host takes one of `n_hosts` shares.",
+    logbook.NOTICE,
+)
--- a/jackdawsill/forwarding/_model.py
+++ b/jackdawsill/forwarding/_model.py
@@ -93,6 +93,7 @@
     headers: Headers = ()
     body: bytes = b""
     signature: bytes | None = None  # replica's proof that the answer is its own
+    limit_per_s: float | None = None  # rate that the replica takes from all hosts
 
     @property
     def succeeded(self) -> bool:
--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -1,9 +1,11 @@
 """Replicas known to this host, and the choice of one for an attempt."""
 
+import math
 import random
 import zlib
 from collections.abc import Collection, Iterable
 
+from jackdawsill.forwarding._fleet import FleetSize
 from jackdawsill.forwarding._model import ReplicaEntry
 from jackdawsill.forwarding._replica import LiveReplica
 
@@ -24,6 +26,7 @@
         "by_service_",
         "changed_at_",
         "failure_domain",
+        "fleet",
         "may_lapse_",
         "misdirected_",
         "regions",
@@ -34,8 +37,14 @@
         "store_regained_at_",
     )
 
-    def __init__(self, failure_domain: str, regions: dict[str, str]) -> None:
+    def __init__(
+        self,
+        failure_domain: str,
+        regions: dict[str, str],
+        fleet: FleetSize | None = None,
+    ) -> None:
         self.failure_domain = failure_domain
+        self.fleet = fleet or FleetSize()
         self.regions = regions
         self.replicas_: dict[str, LiveReplica] = {}
         self.by_service_: dict[str, list[LiveReplica]] = {}
@@ -195,6 +204,29 @@
         replicas = self.by_service_.get(service, ())
         return sum(not replica.is_ejected(now) for replica in replicas)
 
+    def available_at(self, service: str, now: float) -> float:
+        """Return when a replica's limit lets this host send to a service.
+
+        Infinity if no replica is known.
+        """
+        return min(
+            (
+                self._replica_available_at(replica, now)
+                for replica in self.by_service_.get(service, ())
+            ),
+            default=math.inf,
+        )
+
+    def take_slot(self, replica: LiveReplica, now: float) -> None:
+        """Count an attempt that is sent now against the replica's limit."""
+        if replica.rate_share is not None:
+            replica.rate_share.take(self.fleet.divisor(now), now)
+
+    def _replica_available_at(self, replica: LiveReplica, now: float) -> float:
+        if replica.rate_share is None:
+            return now
+        return replica.rate_share.available_at(self.fleet.divisor(now), now)
+
     def pick(
         self,
         service: str,
@@ -206,13 +238,14 @@
         """Return the replica with the lowest expected latency, or None if none is left.
 
         An ejected replica is returned only if no other one is left, because an attempt
-        that may fail is better than a part that is certainly missing.
+        that may fail is better than a part that is certainly missing. A replica whose
+        limit leaves this host no attempt now is never returned.
         """
         best = None
         best_cost = (True, 0.0)
         for replica in self.by_service_.get(service, ()):
             entry = replica.entry
-            if entry.name in exclude:
+            if entry.name in exclude or self._replica_available_at(replica, now) > now:
                 continue
             rtt_s = self.rtt_s(entry.failure_domain)
             # Up to 5 % of noise makes hosts differ in their choice of equal replicas.
--- a/jackdawsill/forwarding/_replica.py
+++ b/jackdawsill/forwarding/_replica.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from jackdawsill.forwarding._model import ReplicaEntry
+from jackdawsill.forwarding._rate_share import RateShare
 
 # Observed slowness decays with this time constant, so that a replica that was slow is
 # tried again after some seconds.
@@ -58,6 +59,7 @@
     n_failures: int = 0
     backoff_s: float = EJECT_MIN_S
     ejected_until: float = 0.0
+    rate_share: RateShare | None = None  # while the replica states a limit
     lapsed_at: float | None = None  # when its entry expired with the store unreachable
     # Requests whose connections were lost since the last answer, as (time, fingerprint,
     # request id).
--- a/jackdawsill/forwarding/_views.py
+++ b/jackdawsill/forwarding/_views.py
@@ -24,7 +24,7 @@
 
 @status_section("forwarding")
 def view_forwarding(state: HostState, now: float) -> dict[str, Any]:
-    """Return calls in progress, and replicas that are draining, ejected or lapsed."""
+    """Return calls in progress, and replicas that are not used freely."""
     registry = state.components_.get(ReplicaRegistry)
     if registry is None:
         return {}
@@ -39,5 +39,10 @@
         "store_lost_s": None if lost_at is None else round(now - lost_at, 1),
         "draining": sorted(r.entry.name for r in replicas if r.entry.draining),
         "avoided": sorted(r.entry.name for r in replicas if r.is_ejected(now)),
+        "limited": {
+            r.entry.name: r.rate_share.limit_per_s
+            for r in replicas
+            if r.rate_share is not None
+        },
         "lapsed": sorted(r.entry.name for r in replicas if r.lapsed_at is not None),
     }
--- /dev/null
+++ b/jackdawsill/forwarding/tests/test_limits.py
@@ -0,0 +1,129 @@
+"""Tests of calls to replicas that state a limit on requests per second."""
+
+import unittest
+
+import msgspec
+
+from jackdawsill.core import FailureKind
+from jackdawsill.forwarding import (
+    AttemptAnswered,
+    AttemptFailed,
+    ReplicaRegistry,
+    ReplicasChanged,
+)
+from jackdawsill.forwarding._errors import AttemptsFailed, RateLimited
+from jackdawsill.forwarding._rate_share import RateShare
+from jackdawsill.forwarding.tests._gateway_model import (
+    GatewayModel,
+    entry,
+    fanout_route,
+    signed,
+    single_route,
+)
+
+# With the assumed size of the fleet, this host may send every 256 s.
+LOW_LIMIT_PER_S = 0.5
+
+
+class TestSingleCall(unittest.TestCase):
+    """Calls to a service whose replicas state a limit."""
+
+    def setUp(self):
+        self.host = GatewayModel(single_route(), domains=("near", "far"))
+        self.registry = self.host.state.component(ReplicaRegistry)
+
+    def state_limit(self, name):
+        """Let a replica have stated a limit; the next slot is far away."""
+        now = self.host.now
+        share = RateShare(LOW_LIMIT_PER_S, now, now + 100.0)
+        self.registry.replicas_[name].rate_share = share
+
+    def test_other_replica_is_used(self):
+        """Guards against requests to a replica in need while another one is free."""
+        self.state_limit("docs-near")
+        for call_id in range(20):
+            (send,) = self.host.call(b"/fetch/1", call_id=call_id)
+            self.assertEqual(send.replica, "docs-far")
+            self.host.answer(send)
+
+    def test_refused_at_once_without_an_attempt(self):
+        """Guards against a call that waits for its deadline, or a wrong Retry-After."""
+        self.state_limit("docs-near")
+        self.state_limit("docs-far")
+        n_before = len(self.host.sent)
+        self.host.call(b"/fetch/1", call_id=1)
+        self.assertEqual(len(self.host.sent), n_before)
+        error = self.host.replies[-1].error
+        self.assertIsInstance(error, RateLimited)
+        self.host.now += error.retry_after_ms / 1000
+        (send,) = self.host.call(b"/fetch/1", call_id=2)
+        self.host.call(b"/fetch/1", call_id=3)
+        self.assertIsInstance(self.host.replies[-1].error, RateLimited)
+        self.host.answer(send)
+
+    def test_retry_keeps_the_limit(self):
+        """Guards against retries beyond a limit, and a refusal of what may have run."""
+        self.state_limit("docs-far")
+        (send,) = self.host.call(b"/fetch/1", call_id=1)
+        self.assertEqual(send.replica, "docs-near")
+        n_before = len(self.host.sent)
+        self.host.fail(send, FailureKind.CRASH)
+        self.assertEqual(len(self.host.sent), n_before)
+        self.assertIsInstance(self.host.replies[-1].error, AttemptsFailed)
+
+    def test_limit_in_a_refusal(self):
+        """Guards against a limit that is overlooked because the attempt was shed."""
+        (send,) = self.host.call(b"/fetch/1", call_id=1)
+        failed = AttemptFailed(
+            send.attempt_id, FailureKind.SHED, "", limit_per_s=LOW_LIMIT_PER_S
+        )
+        self.host.feed(failed)
+        share = self.registry.replicas_[send.replica].rate_share
+        self.assertEqual(share.limit_per_s, LOW_LIMIT_PER_S)
+
+    def test_restarted_replica(self):
+        """Guards against a limit that outlives the process that stated it."""
+        self.state_limit("docs-near")
+        again = entry("docs-near", "docs", "near", incarnation="2")
+        self.host.feed(ReplicasChanged((again,), (), 60, "store"))
+        self.assertIsNone(self.registry.replicas_["docs-near"].rate_share)
+
+
+class TestFanout(unittest.TestCase):
+    """Fan-outs to shards whose replicas state a limit."""
+
+    def setUp(self):
+        self.host = GatewayModel(fanout_route(), domains=("near", "far"))
+        self.registry = self.host.state.component(ReplicaRegistry)
+
+    def limit_services(self, *services):
+        """Let all replicas of the services have stated a limit."""
+        now = self.host.now
+        for service in services:
+            for replica in self.registry.by_service_[service]:
+                replica.rate_share = RateShare(LOW_LIMIT_PER_S, now, now + 100.0)
+
+    def test_limit_of_a_part(self):
+        """Guards against a limit that is overlooked in the answer of a part."""
+        first, *others = self.host.call(b"/sweep/1", call_id=1)
+        answer = msgspec.structs.replace(signed(first.replica), limit_per_s=7.0)
+        self.host.feed(AttemptAnswered(first.attempt_id, answer))
+        for send in others:
+            self.host.answer(send)
+        limited = {n: r for n, r in self.registry.replicas_.items() if r.rate_share}
+        self.assertEqual(list(limited), [first.replica])
+
+    def test_limited_part_is_left_out(self):
+        """Guards against a fan-out that waits for a part which it cannot send."""
+        self.limit_services("s1")
+        sent = self.host.call(b"/sweep/1", call_id=2)
+        self.assertEqual(len(sent), 3)
+        for send in sent:
+            self.host.answer(send)
+        self.assertEqual(self.host.replies[-1].answer.n_missing, 1)
+
+    def test_too_few_parts(self):
+        """Guards against work of replicas for a fan-out that cannot be answered."""
+        self.limit_services("s1", "s2")
+        self.assertEqual(self.host.call(b"/sweep/1", call_id=2), [])
+        self.assertIsInstance(self.host.replies[-1].error, RateLimited)
--- a/jackdawsill/http1/_connection.py
+++ b/jackdawsill/http1/_connection.py
@@ -194,7 +194,9 @@
         self._release_held()
         self.must_close = self.must_close or closes or unsent
         if isinstance(result, ResponseFailure):
-            outcome = AttemptFailed(attempt.attempt_id, result.kind, result.detail)
+            outcome = AttemptFailed(
+                attempt.attempt_id, result.kind, result.detail, result.limit_per_s
+            )
             if result.kind is FailureKind.BAD_ANSWER:
                 self.must_close = True
         else:
--- a/jackdawsill/http1/_header_codec.py
+++ b/jackdawsill/http1/_header_codec.py
@@ -35,6 +35,7 @@
 
     kind: FailureKind
     detail: str = ""
+    limit_per_s: float | None = None  # rate that the replica takes from all hosts
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
