--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,12 @@
 PY = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: setup test demo matrix bench slopes soak platform-run format catalogue
+# Site files of the regression runs, below the folder SITES.
+REGRESS_SITES ?= grown/eandinos-grown.toml grown/donkerlug-grown.toml \
+    further/dvorak-sit.toml further-grown/dvorak-sit-grown.toml \
+    large/eandinos-large.toml
+
+.PHONY: setup test demo matrix bench slopes soak platform-run regress format catalogue
 
 $(STAMP): requirements/lock.txt pyproject.toml
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -37,6 +42,11 @@
 platform-run:
 	$(BENCH) run $(SITE) $(DAY) --why "$(WHY)"
 
+regress: $(STAMP)
+	cd platform && ../$(PY) -m jackdawsill_platform.regress --root .. \
+	    --bench $(abspath $(BENCH)) $(REGRESS_ARGS) \
+	    $(addprefix $(abspath $(SITES))/,$(REGRESS_SITES))
+
 catalogue: $(STAMP)
 	$(PY) -m tools.catalogue
 	$(PY) -m tools.api_list
