Skip log lines without fields in jackdawsillctl trace

Operators got an AttributeError for a line with "fields": null, and no result. Such a line is skipped as other output is. test_line_without_fields failed before.

--- a/jackdawsill/cli/_trace.py
+++ b/jackdawsill/cli/_trace.py
@@ -72,9 +72,9 @@
             except ValueError:
                 # Output of another program in the same file.
                 continue
-            if not isinstance(event, dict) or "fields" not in event:
+            fields = event.get("fields") if isinstance(event, dict) else None
+            if not isinstance(fields, dict):
                 continue
-            fields = event["fields"]
             host = str(fields.get("host", path.name))
             yield LogLine(
                 str(event.get("time", "")), host, str(event.get("name")), fields
--- a/jackdawsill/cli/tests/test_trace.py
+++ b/jackdawsill/cli/tests/test_trace.py
@@ -38,6 +38,16 @@
         self.assertEqual(names, ["replicas_changed", "attempt_failed", "call_ended"])
         self.assertIn("replica=i-1", found[1].text())
 
+    def test_line_without_fields(self):
+        """Guards against a search that ends at a line without fields."""
+        lines = [
+            json.dumps({"time": "01", "name": "store_lost", "fields": None}),
+            line("02", "call_ended", host="h1", request="r1"),
+        ]
+        self.path.write_text("\n".join(lines), encoding="utf-8")
+        found = trace_request("r1", [self.path])
+        self.assertEqual([entry.name for entry in found], ["call_ended"])
+
     def test_unreadable(self):
         """Guards against a traceback for a file that does not exist."""
         with self.assertRaises(FileNotRead):
