Find events with request_id in jackdawsillctl trace

Events of queries and tickets name their request in request_id, so the search found none of them. It also shows stopped event loops and limits of replicas as state changes before a request's line. test_events_of_a_query_and_a_ticket failed before.

--- a/jackdawsill/cli/_trace.py
+++ b/jackdawsill/cli/_trace.py
@@ -16,6 +16,8 @@
         "gateway_reloaded",
         "gateway_started",
         "gateway_stopping",
+        "limit_changed",
+        "loop-lagged",
         "news_source",
         "pause_noticed",
         "relay_lost",
@@ -28,6 +30,8 @@
         "store_regained",
     }
 )
+# Fields that name the request of an event: of a gateway, and of a host's queries.
+REQUEST_FIELDS = ("request", "request_id")
 # Maximum number of state changes shown for a line of the request: the last ones of its
 # host since the previous line.
 MAX_STATE_LINES = 5
@@ -82,7 +86,7 @@
 
 
 def trace_request(request_id: str, paths: Iterable[Path]) -> list[LogLine]:
-    """Return the events with the field `request`, and the state changes before them.
+    """Return the events that name a request, and the state changes before them.
 
     The lines of all files are sorted by time.
     """
@@ -90,7 +94,7 @@
     for path in paths:
         state_lines: dict[str, list[LogLine]] = {}
         for line in read_lines(path):
-            if line.fields.get("request") == request_id:
+            if request_id in (line.fields.get(key) for key in REQUEST_FIELDS):
                 earlier = state_lines.pop(line.host, [])
                 found += [*earlier, line]
             elif line.name in STATE_EVENTS:
--- a/jackdawsill/cli/tests/test_trace.py
+++ b/jackdawsill/cli/tests/test_trace.py
@@ -38,6 +38,16 @@
         self.assertEqual(names, ["replicas_changed", "attempt_failed", "call_ended"])
         self.assertIn("replica=i-1", found[1].text())
 
+    def test_events_of_a_query_and_a_ticket(self):
+        """Guards against events that name their request in the field `request_id`."""
+        lines = [
+            line("01", "query-restarted", host="h1", request_id="r1"),
+            line("02", "query-restarted", host="h1", request_id="r2"),
+        ]
+        self.path.write_text("\n".join(lines), encoding="utf-8")
+        found = trace_request("r1", [self.path])
+        self.assertEqual([entry.time for entry in found], ["01"])
+
     def test_line_without_fields(self):
         """Guards against a search that ends at a line without fields."""
         lines = [
