Count a fleet although one of its relays never starts

Limits and the retry budget are divided by the number of hosts. A relay stated no number until it had the counts of all others, so with one stale seed, or with a single relay, hosts used the assumed 128 for ever: too large a share on the large site's 195 hosts, and a seventh of the due share on 18. Found by reading, for the limits of replicas.

Change: 15 s after its start a relay takes one that it has never reached for one without subscribers, which are then at other relays; a relay whose count was received keeps it, also while it is cut off. A relay records its own number too.

test_fleet_is_counted_without_a_relay failed before (128 instead of 15 at all hosts).

--- a/jackdawsill/relaying/_feed.py
+++ b/jackdawsill/relaying/_feed.py
@@ -32,6 +32,10 @@
 # Time for opening a link to a relay and for its first message.
 OPEN_TIMEOUT_S = 0.6
 
+# A relay that has not been reached for this time after the start of this one is down;
+# its subscribers are those of other relays.
+UNREACHED_S = 15.0
+
 
 class UpstreamState(StrEnum):
     """State of the link to the relay in use."""
@@ -180,18 +184,21 @@
         """Return the number of subscribers that are not relays."""
         return len(self.subscribers_) - len(self.relay_subscribers_)
 
-    def fleet_size(self) -> int:
-        """Return the number of hosts, or 0 if this relay lacks a peer's count."""
+    def fleet_size(self, now: float) -> int:
+        """Return the number of hosts, or 0 if this relay lacks a peer's count.
+
+        A relay that has never sent its count counts as one without subscribers after
+        `UNREACHED_S`; one that did send it keeps its last count.
+        """
+        counts = self.subscriber_counts_
         others = [seed for seed in self.seeds if seed != self.address]
-        if not self.is_relay or any(
-            seed not in self.subscriber_counts_ for seed in others
+        may_be_starting = now - (self.started_at_ or now) < UNREACHED_S
+        if not self.is_relay or (
+            may_be_starting and any(seed not in counts for seed in others)
         ):
             return 0
-        return (
-            len(self.seeds)
-            + self.n_subscribers
-            + sum(self.subscriber_counts_[s] for s in others)
-        )
+        n_elsewhere = sum(counts.get(seed, 0) for seed in others)
+        return len(self.seeds) + self.n_subscribers + n_elsewhere
 
     def relay_candidates(self, now: float) -> list[str]:
         """Return the other relays not in backoff, or all if all are in backoff."""
--- a/jackdawsill/relaying/_handlers.py
+++ b/jackdawsill/relaying/_handlers.py
@@ -155,7 +155,7 @@
             feed.subscriber_counts_[feed.peer_relays_[event.link_id]] = (
                 message.n_subscribers
             )
-            record_fleet_size(state, feed.fleet_size(), now)
+            record_fleet_size(state, feed.fleet_size(now), now)
         return apply_update(state, event.link_id, message, now)
     if event.link_id != feed.relay_link_id_:
         # A subscriber that reaches the store sends the updates that this host lacks.
@@ -270,6 +270,8 @@
         # Without heartbeats the subscribers switch to another relay or to the store.
         return []
     heartbeat = make_heartbeat(state, revision, now)
+    # Without a reachable peer relay, no heartbeat tells this relay the size.
+    record_fleet_size(state, heartbeat.n_hosts, now)
     return [SendPeer(link_id, heartbeat) for link_id in feed.subscribers_]
 
 
--- a/jackdawsill/relaying/_updates.py
+++ b/jackdawsill/relaying/_updates.py
@@ -209,7 +209,7 @@
         revision,
         feed.age_s(now),
         feed.n_subscribers,
-        feed.fleet_size(),
+        feed.fleet_size(now),
         state.component(RouteCatalog).version,
         state.component(ReplicaRegistry).digest,
     )
--- a/jackdawsill/relaying/tests/test_relaying.py
+++ b/jackdawsill/relaying/tests/test_relaying.py
@@ -52,6 +52,20 @@
             divisor = host.state.component(FleetSize).divisor(self.fleet.now)
             self.assertAlmostEqual(divisor, 1.25 * 12)
 
+    def test_fleet_is_counted_without_a_relay(self):
+        """Guards against assumed sizes in a fleet with a relay that never starts."""
+        for n_seeds in (1, 3):
+            fleet = Fleet(12, n_seeds)
+            if n_seeds > 1:
+                fleet.stop("h2")
+            fleet.run(40.0)
+            for host in fleet.hosts.values():
+                if host.address in fleet.down:
+                    continue
+                with self.subTest(n_seeds=n_seeds, host=host.address):
+                    divisor = host.state.component(FleetSize).divisor(fleet.now)
+                    self.assertAlmostEqual(divisor, 1.25 * 12)
+
     def test_crashes_reach_every_host(self):
         """Guards against a poison request that crashes replicas through each host.
 
