Report suppressed log lines without waiting for a later event

On-call engineers did not see that lines were missing if no event followed a burst: the count was written only with the next log event.

--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -65,8 +65,7 @@
     split_address,
 )
 
-# Minimum time between two reports of suppressed lines; a report is written together
-# with the next log event after it.
+# Time between two reports of suppressed log lines.
 SUPPRESSED_REPORT_INTERVAL_S = 1.0
 # Fraction of the process's memory that unfinished responses of replicas may take. The
 # process itself needs about 40 MB, and complete responses take memory too.
@@ -118,7 +117,7 @@
             int(RESPONSE_MEMORY_FRACTION * cfg.host.memory_mb * BYTES_PER_MB),
         )
         self.log_limiter = LogRateLimiter()
-        self._suppressed_reported_at = 0.0
+        self._report_handle: asyncio.TimerHandle | None = None
         self._exit_task: asyncio.Task | None = None  # keeps it from being collected
         # Returns the status section "settings"; set by whoever reloads the settings.
         self.settings_status: Callable[[], dict[str, object]] = dict
@@ -146,6 +145,7 @@
         if address:
             await self.delegation_server.start(*split_address(address))
         self.replica_client.start()
+        self._report_suppressed()
         # After the peer port is open, so that hosts that start together can connect.
         self.driver.start()
         self.driver.log(
@@ -169,6 +169,8 @@
         if self.exited.is_set():
             return
         self.driver.stop()
+        if self._report_handle is not None:
+            self._report_handle.cancel()
         self.store_follower.stop()
         self.links.abort()
         self.caller_server.stop()
@@ -281,15 +283,18 @@
         self._reply(effect.call_id, error.status, headers, text)
 
     def _log(self, effect: LogEvent) -> None:
-        """Log an event within its rate limit, and report suppressed lines if due."""
-        now = self.driver.clock()
-        if self.log_limiter.try_acquire(effect.number, now):
+        """Log an event within its rate limit."""
+        if self.log_limiter.try_acquire(effect.number, self.driver.clock()):
             self.driver.log(effect.number, **effect.fields)
-        if now - self._suppressed_reported_at < SUPPRESSED_REPORT_INTERVAL_S:
-            return
-        self._suppressed_reported_at = now
+
+    def _report_suppressed(self) -> None:
+        """Report suppressed lines, now and periodically."""
         for number, n_lines in self.log_limiter.take_suppressed().items():
             self.driver.log(log_events.LINES_SUPPRESSED, event=number, n=n_lines)
+        loop = asyncio.get_running_loop()
+        self._report_handle = loop.call_later(
+            SUPPRESSED_REPORT_INTERVAL_S, self._report_suppressed
+        )
 
     def _close_caller_connections(self, effect: CloseCallerConnections) -> None:
         self.caller_server.start_closing(idle_now=effect.idle_now)
