Play the load of a fleet whose replicas state limits below it

18 modelled hosts, 90 calls a second, three replicas that take 15 a second each: each replica stays within the contract, four fifths of the fleet's shares are used, every other call is refused at once; fan-outs over eight shards, one of them limited, are all answered. Seeded, without a network.

--- a/jackdawsill/forwarding/tests/test_limits.py
+++ b/jackdawsill/forwarding/tests/test_limits.py
@@ -1,5 +1,6 @@
 """Tests of calls to replicas that state a limit on requests per second."""
 
+import random
 import unittest
 
 import msgspec
@@ -8,10 +9,14 @@
 from jackdawsill.forwarding import (
     AttemptAnswered,
     AttemptFailed,
+    FleetSize,
+    PassAnswer,
     ReplicaRegistry,
     ReplicasChanged,
+    SendMerged,
 )
 from jackdawsill.forwarding._errors import AttemptsFailed, RateLimited
+from jackdawsill.forwarding._fleet import COUNT_MARGIN
 from jackdawsill.forwarding._rate_share import RateShare
 from jackdawsill.forwarding.tests._gateway_model import (
     GatewayModel,
@@ -20,6 +25,12 @@
     signed,
     single_route,
 )
+from jackdawsill.forwarding.tests.test_rate_share import (
+    CONTRACT_FACTOR,
+    CONTRACT_SLACK,
+    CONTRACT_WINDOW_S,
+    most_in_window,
+)
 
 # With the assumed size of the fleet, this host may send every 256 s.
 LOW_LIMIT_PER_S = 0.5
@@ -127,3 +138,76 @@
         self.limit_services("s1", "s2")
         self.assertEqual(self.host.call(b"/sweep/1", call_id=2), [])
         self.assertIsInstance(self.host.replies[-1].error, RateLimited)
+
+
+class TestLoadOfAFleet(unittest.TestCase):
+    """Callers of a whole fleet whose replicas state limits below the load."""
+
+    N_HOSTS = 18
+    LIMIT_PER_S = 15.0
+    CALLS_PER_S = 90.0
+    SECONDS = 20.0
+
+    def play(self, route, services):
+        """Play a seeded load; return arrivals by replica, and the replies."""
+        rng = random.Random(5)
+        hosts = []
+        for seed in range(self.N_HOSTS):
+            host = GatewayModel(route)
+            host.state.rng = random.Random(seed)
+            host.state.component(ReplicaRegistry).fleet = self.counted_fleet(host.now)
+            hosts.append(host)
+        arrivals = {}
+        start = hosts[0].now
+        now = start
+        call_id = 0
+        while now < start + self.SECONDS:
+            now += rng.expovariate(self.CALLS_PER_S)
+            host = rng.choice(hosts)
+            host.advance(now - host.now)
+            call_id += 1
+            for send in host.call(route.prefix + b"1", call_id=call_id):
+                arrivals.setdefault(send.replica, []).append(now)
+                answer = signed(f"{send.attempt_id}")
+                if send.replica.partition("-")[0] in services:
+                    answer = msgspec.structs.replace(
+                        answer, limit_per_s=self.LIMIT_PER_S
+                    )
+                host.feed(AttemptAnswered(send.attempt_id, answer))
+        replies = [reply for host in hosts for reply in host.replies]
+        self.assertEqual(len(replies), call_id)
+        return arrivals, replies
+
+    def counted_fleet(self, now):
+        """Return a fleet that was counted some time ago."""
+        fleet = FleetSize()
+        for at in (now - 10.0, now):
+            fleet.record_count(self.N_HOSTS, at)
+        return fleet
+
+    def check_limits(self, arrivals, services):
+        allowed = CONTRACT_FACTOR * self.LIMIT_PER_S * CONTRACT_WINDOW_S
+        for replica, times in arrivals.items():
+            if replica.partition("-")[0] in services:
+                settled = [at for at in times if at > min(times) + CONTRACT_WINDOW_S]
+                n_most = most_in_window(settled)
+                self.assertLessEqual(n_most, allowed + CONTRACT_SLACK, replica)
+
+    def test_all_replicas_limited(self):
+        """Guards against replicas above their limits, and callers left without any."""
+        arrivals, replies = self.play(single_route(), {"docs"})
+        self.check_limits(arrivals, {"docs"})
+        served = [r for r in replies if isinstance(r, PassAnswer)]
+        share = 3 * self.LIMIT_PER_S / COUNT_MARGIN / self.CALLS_PER_S
+        self.assertGreater(len(served) / len(replies), 0.8 * share)
+        for reply in replies:
+            if not isinstance(reply, PassAnswer):
+                self.assertIsInstance(reply.error, RateLimited)
+
+    def test_some_shards_limited(self):
+        """Guards against fan-outs refused while enough shards are free."""
+        arrivals, replies = self.play(fanout_route(8, min_coverage=0.8), {"s1"})
+        self.check_limits(arrivals, {"s1"})
+        self.assertTrue(all(isinstance(r, SendMerged) for r in replies))
+        n_missing = sum(r.answer.n_missing for r in replies)
+        self.assertLess(n_missing / len(replies), 0.75)
