--- a/jackdawsill/daemon/_platform_reader.py
+++ b/jackdawsill/daemon/_platform_reader.py
@@ -101,8 +101,10 @@
             status, _, body = await self._get(
                 self.host_list_url, {}, READ_TIMEOUT_S, MAX_HOST_LIST_BYTES
             )
-            if status != 200 or body is None:
+            if status != 200:
                 raise ValueError(f"status {status}")
+            if body is None:
+                raise ValueError(f"host list over {MAX_HOST_LIST_BYTES} bytes")
             entries = _HOST_LIST_DECODER.decode(body)
         except (*_READ_ERRORS, msgspec.DecodeError, RecursionError) as exc:
             # Logs only the first of consecutive failures; an outage may last long.
--- a/jackdawsill/daemon/tests/test_platform_reader.py
+++ b/jackdawsill/daemon/tests/test_platform_reader.py
@@ -15,7 +15,7 @@
     ReadConfig,
     ReadHostList,
 )
-from jackdawsill.daemon._platform_reader import PlatformReader
+from jackdawsill.daemon._platform_reader import MAX_HOST_LIST_BYTES, PlatformReader
 from jackdawsill.daemon.tests._fixtures import WAIT_S, ScriptedServer
 from jackdawsill.runtime import Driver
 from jackdawsill.standins import ConfigService, HostList
@@ -96,6 +96,17 @@
         self.reader = await self.start_reader(url, url)
         self.assertIsInstance(await self.read("manifest"), ConfigReadFailed)
 
+    async def test_oversize_host_list(self):
+        """Guards against a log line that calls a list over the limit a success."""
+        server = ScriptedServer(b"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n")
+        url = f"http://{await server.start()}"
+        self.addAsyncCleanup(server.stop)
+        reader = await self.start_reader(url, url)
+        with mock.patch.object(Driver, "log") as log:
+            await reader._read_host_list()
+        (call,) = log.mock_calls
+        self.assertIn(f"over {MAX_HOST_LIST_BYTES} bytes", call.kwargs["detail"])
+
     async def test_host_list(self):
         """Guards against an invalid list that is accepted or stops later reads."""
         server = ScriptedServer(
