Serve versions and digests of each host as metrics

Gauges with the route version, the digests of settings in use and of the file, their ages, what waits for a restart, the size of the fleet and the bytes to other hosts are read from the status when the metrics are asked for.

--- a/jackdawsill/gateway/_operator.py
+++ b/jackdawsill/gateway/_operator.py
@@ -94,16 +94,19 @@
     def _on_health_check(self, call_id: int, raw: RawRequest) -> None:
         self.health_server.reply(call_id, 200 if self.ready_ else 503)
 
+    def _read_status(self) -> dict[str, Any]:
+        return status(self.state, self.clock()) | self.process_status()
+
     def _on_status_request(self, call_id: int, raw: RawRequest) -> None:
         path = raw.target.partition(b"?")[0]
         if path == b"/metrics":
-            body = self._record_buffered().render().encode()
-            self.status_server.reply(call_id, 200, TEXT_HEADERS, body)
+            # Imported here for the same reason as the instruments.
+            from jackdawsill.gateway._state_metrics import render_state
+
+            text = self._record_buffered().render() + render_state(self._read_status)
+            self.status_server.reply(call_id, 200, TEXT_HEADERS, text.encode())
         elif path == b"/status":
-            sections = status(self.state, self.clock())
-            sections |= self.process_status()
-            self.status_server.reply(
-                call_id, 200, JSON_HEADERS, msgspec.json.encode(sections)
-            )
+            body = msgspec.json.encode(self._read_status())
+            self.status_server.reply(call_id, 200, JSON_HEADERS, body)
         else:
             self.status_server.reply(call_id, 404)
