--- a/jackdawsill/gateway/_build.py
+++ b/jackdawsill/gateway/_build.py
@@ -18,11 +18,7 @@
 )
 from jackdawsill.gateway._settings import GatewaySettings
 from jackdawsill.relaying import UpdateFeed
-from jackdawsill.runtime import SendPacer, join_address, split_address
-
-# Fraction of the host's link that large messages to other hosts may take. The rest is
-# left to calls, whose time is running while they wait for the link.
-PEER_LINK_FRACTION = 0.5
+from jackdawsill.runtime import join_address, split_address
 
 
 def delegation_address(cfg: GatewaySettings) -> str:
@@ -44,11 +40,6 @@
     )
 
 
-def peer_bytes_per_s(cfg: GatewaySettings) -> float:
-    """Return the rate of large messages to other hosts."""
-    return PEER_LINK_FRACTION * cfg.host.link_mbps * 1e6 / 8
-
-
 def build_gateway_state(cfg: GatewaySettings, rng: random.Random) -> HostState:
     """Return the state of a new process with all components attached."""
     host = cfg.host
@@ -64,7 +55,6 @@
     state.attach(CallTable())
     state.attach(GatewayLifecycle())
     state.attach(ConnectionWarmer())
-    state.attach(SendPacer(peer_bytes_per_s(cfg)))
     address = delegation_address(cfg)
     offer = DelegateHost(host.name, address, host.failure_domain) if address else None
     state.attach(DelegateTable(host.link_mbps, offer))
--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -59,7 +59,6 @@
     Driver,
     InternalFault,
     LinkSet,
-    SendPacer,
     join_address,
     listening_socket,
     split_address,
@@ -122,7 +121,7 @@
         # Returns the status section "settings"; set by whoever reloads the settings.
         self.settings_status: Callable[[], dict[str, object]] = dict
         self.operator_servers = OperatorServers(self.state, self._status, boot_clock)
-        self.links = LinkSet(self.driver, self.state.component(SendPacer))
+        self.links = LinkSet(self.driver)
         registry = self.state.component(ReplicaRegistry)
         self.store_follower = StoreFollower(
             store, self.driver.feed, lambda: registry.revision_, self.rng, boot_clock
--- a/jackdawsill/gateway/_reload.py
+++ b/jackdawsill/gateway/_reload.py
@@ -17,12 +17,11 @@
     RetryBudget,
 )
 from jackdawsill.gateway import _log_events as log_events
-from jackdawsill.gateway._build import forwarding_policy, peer_bytes_per_s
+from jackdawsill.gateway._build import forwarding_policy
 from jackdawsill.gateway._settings import GatewaySettings, load_gateway_settings
 from jackdawsill.ini_check import SettingsInvalid
 from jackdawsill.logs import log_event
 from jackdawsill.relaying import UpdateFeed
-from jackdawsill.runtime import SendPacer
 
 # Applies the settings to the state of a running process; it must not raise.
 Applier = Callable[[HostState, GatewaySettings], None]
@@ -97,9 +96,8 @@
 
 @live_setting("host.link_mbps")
 def apply_link(state: HostState, cfg: GatewaySettings) -> None:
-    """Change which calls are delegated or accepted from others, and the pacing."""
+    """Change which calls are delegated, and whether this host is a delegate."""
     state.component(DelegateTable).link_mbps = cfg.host.link_mbps
-    state.component(SendPacer).bytes_per_s = peer_bytes_per_s(cfg)
 
 
 @live_setting("regions")
--- a/jackdawsill/runtime/__init__.py
+++ b/jackdawsill/runtime/__init__.py
@@ -9,13 +9,11 @@
 from jackdawsill.runtime._errors import InternalFault
 from jackdawsill.runtime._gc import tune_gc
 from jackdawsill.runtime._links import LinkSet
-from jackdawsill.runtime._send_pacer import SendPacer
 
 __all__ = [
     "Driver",
     "InternalFault",
     "LinkSet",
-    "SendPacer",
     "join_address",
     "listening_socket",
     "split_address",
--- a/jackdawsill/runtime/_links.py
+++ b/jackdawsill/runtime/_links.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-from collections import deque
 from typing import Any
 
 from jackdawsill.core import (
@@ -16,9 +15,8 @@
 from jackdawsill.exceptions import JackdawsillError
 from jackdawsill.peers import MAX_MESSAGE_BYTES, Decoder, PeerMessage, encode
 from jackdawsill.runtime._addresses import join_address, split_address
-from jackdawsill.runtime._driver import LOOP_RESOLUTION_S, Driver
+from jackdawsill.runtime._driver import Driver
 from jackdawsill.runtime._log_events import BAD_PEER_MESSAGE
-from jackdawsill.runtime._send_pacer import SendPacer
 
 # Timeout of opening a link, far above a round trip between regions. A host that is
 # down may not answer at all.
@@ -27,27 +25,15 @@
 MAX_UNSENT_BYTES = 2 * MAX_MESSAGE_BYTES
 CLOSE_TIMEOUT_S = 1.0
 BACKLOG = 1024
-# Messages from this size on are paced, and what follows them on their link. Smaller
-# ones are urgent, such as heartbeats, and do not fill the host's network link.
-BULK_BYTES = 4096
 
 
 class _Link(asyncio.Protocol):
     """One link; the reducer chooses the `link_id` of outgoing links.
 
-    `detail` is the reason for the close, reported in `LinkClosed`; `pending` has the
-    messages that wait for the pacer.
+    `detail` is the reason for the close, reported in `LinkClosed`.
     """
 
-    __slots__ = (
-        "address",
-        "decoder",
-        "detail",
-        "link_id",
-        "link_set",
-        "pending",
-        "transport",
-    )
+    __slots__ = ("address", "decoder", "detail", "link_id", "link_set", "transport")
 
     def __init__(
         self, link_set: "LinkSet", link_id: int | None = None, address: str = ""
@@ -57,7 +43,6 @@
         self.address = address
         self.decoder = Decoder()
         self.detail = ""
-        self.pending: deque[memoryview] = deque()
         self.transport: Any = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -92,17 +77,6 @@
             self.detail = repr(exc)[:200]
         self.link_set.on_link_closed(self)
 
-    @property
-    def n_unsent_bytes(self) -> int:
-        """Return the number of bytes that were not passed to the kernel yet."""
-        n_pending = sum(len(data) for data in self.pending)
-        return n_pending + self.transport.get_write_buffer_size()
-
-    def write_pending(self) -> None:
-        """Write all messages that wait for the pacer."""
-        while self.pending:
-            self.transport.write(self.pending.popleft())
-
     def abort(self, detail: str) -> None:
         """Log invalid messages or too many unsent bytes, and abort the link."""
         self.detail = detail[:200]
@@ -118,19 +92,14 @@
 class LinkSet:
     """Carry out `OpenLink`, `CloseLink` and `SendPeer`, and listen for peers.
 
-    Each `OpenLink` and each incoming link ends in exactly one `LinkClosed`. `pacer`
-    limits the rate of large messages over all links together.
+    Each `OpenLink` and each incoming link ends in exactly one `LinkClosed`.
     """
 
-    def __init__(self, driver: Driver, pacer: SendPacer | None = None) -> None:
+    def __init__(self, driver: Driver) -> None:
         self.driver = driver
-        self.pacer = pacer or SendPacer()
         self.port_ = 0
         self.n_bytes_sent_ = 0
         self._links: dict[int, _Link] = {}
-        # Links with pending messages, in the order in which they are served.
-        self._paced: deque[_Link] = deque()
-        self._pace_handle: asyncio.TimerHandle | None = None
         self._opening: dict[int, asyncio.Task] = {}
         self._server: asyncio.Server | None = None
         self._last_encoded: tuple[PeerMessage | None, bytes] = (None, b"")
@@ -143,7 +112,9 @@
     @property
     def n_unsent_bytes(self) -> int:
         """Return the number of bytes that wait in the buffers of all links."""
-        return sum(link.n_unsent_bytes for link in self._links.values())
+        return sum(
+            link.transport.get_write_buffer_size() for link in self._links.values()
+        )
 
     async def start(self, sock: socket.socket) -> None:
         """Listen for peers on a bound socket."""
@@ -158,7 +129,6 @@
 
         Links that are not closed after CLOSE_TIMEOUT_S are aborted.
         """
-        self._stop_pacing()
         if self._server is not None:
             self._server.close()
         opening = list(self._opening.values())
@@ -168,7 +138,6 @@
         if self._links:
             self._all_closed = asyncio.Event()
             for link in self._links.values():
-                link.write_pending()
                 link.transport.close()
             try:
                 async with asyncio.timeout(CLOSE_TIMEOUT_S):
@@ -179,7 +148,6 @@
 
     def abort(self) -> None:
         """Stop listening and close all links at once; queued messages are lost."""
-        self._stop_pacing()
         if self._server is not None:
             self._server.close()
         for task in self._opening.values():
@@ -196,13 +164,12 @@
         """Close a link after its queued messages are written."""
         link = self._links.get(effect.link_id)
         if link is not None:
-            link.write_pending()
             link.transport.close()
         elif effect.link_id in self._opening:
             self._opening[effect.link_id].cancel()
 
     def send(self, effect: SendPeer) -> None:
-        """Write a message or queue a large one; drop it if the link is closed."""
+        """Write a message, or drop it if the link is closed."""
         link = self._links.get(effect.link_id)
         if link is None or link.transport.is_closing():
             return
@@ -211,48 +178,11 @@
             # A broadcast sends one message to many links; encode it once.
             data = encode(effect.message)
             self._last_encoded = (effect.message, data)
+        link.transport.write(data)
         self.n_bytes_sent_ += len(data)
-        if link.pending or len(data) >= BULK_BYTES:
-            if not link.pending:
-                self._paced.append(link)
-            link.pending.append(memoryview(data))
-            self._write_paced()
-        else:
-            link.transport.write(data)
-        if link.n_unsent_bytes > MAX_UNSENT_BYTES:
+        if link.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             link.abort(f"more than {MAX_UNSENT_BYTES} bytes unsent")
 
-    def _write_paced(self) -> None:
-        """Write pending messages as far as the pacer allows, one link after another."""
-        now = self.driver.clock()
-        while self._paced:
-            link = self._paced[0]
-            if not link.pending or link.transport.is_closing():
-                self._paced.popleft()
-                continue
-            data = link.pending.popleft()
-            n_allowed = self.pacer.allowed(len(data), now)
-            if n_allowed < len(data):
-                link.pending.appendleft(data[n_allowed:])
-            self.pacer.spend(n_allowed)
-            link.transport.write(data[:n_allowed])
-            if n_allowed < len(data):
-                break
-        if self._paced and self._pace_handle is None:
-            loop = asyncio.get_running_loop()
-            delay_s = max(LOOP_RESOLUTION_S, self.pacer.delay_s())
-            self._pace_handle = loop.call_later(delay_s, self._resume_paced)
-
-    def _resume_paced(self) -> None:
-        self._pace_handle = None
-        self._write_paced()
-
-    def _stop_pacing(self) -> None:
-        if self._pace_handle is not None:
-            self._pace_handle.cancel()
-            self._pace_handle = None
-        self._paced.clear()
-
     def on_link_opened(self, link: _Link, outgoing: bool) -> None:
         """Register an open link and feed `LinkOpened`."""
         assert link.link_id is not None
