Log lost history, the store's era and dropped updates

The logs could not tell why subscribers of a relay miss changes after the store has returned from a copy: no line said that history was lost, which era the list came from, or that an update was dropped for its revision. No logic changes.

--- a/jackdawsill/forwarding/__init__.py
+++ b/jackdawsill/forwarding/__init__.py
@@ -42,6 +42,7 @@
     ReplicasListed,
     RoutesRead,
     StoreConfirmed,
+    StoreHistoryLost,
     StoreLost,
     StoreRegained,
 )
@@ -109,6 +110,7 @@
     "SendAttempt",
     "SendMerged",
     "StoreConfirmed",
+    "StoreHistoryLost",
     "StoreLost",
     "StoreRegained",
     "WarmReplicas",
--- a/jackdawsill/forwarding/_events.py
+++ b/jackdawsill/forwarding/_events.py
@@ -56,6 +56,7 @@
     entries: tuple[ReplicaEntry, ...]
     revision: int
     source: str
+    era: int = 0  # of the store, 0 if not stated
 
 
 class ReplicasChanged(Event):
@@ -86,6 +87,12 @@
     revision: int
 
 
+class StoreHistoryLost(Event):
+    """The store no longer has the changes after `revision`; all is read again."""
+
+    revision: int
+
+
 class ReplicaRefused(Event):
     """A replica refused a connection that this host tried to open in advance."""
 
--- a/jackdawsill/forwarding/_log_events.py
+++ b/jackdawsill/forwarding/_log_events.py
@@ -100,3 +100,11 @@
     "longer states a limit. This host takes one of `n_hosts` shares.",
     logbook.NOTICE,
 )
+HISTORY_LOST = register_log_event(
+    2514,
+    "history_lost",
+    "the platform's store no longer has the changes after revision {revision}",
+    "All routes and replicas are read again. The store drops old history, and may have "
+    "returned from a copy.",
+    logbook.NOTICE,
+)
--- a/jackdawsill/forwarding/_store_handlers.py
+++ b/jackdawsill/forwarding/_store_handlers.py
@@ -23,6 +23,7 @@
     ReplicasListed,
     RoutesRead,
     StoreConfirmed,
+    StoreHistoryLost,
     StoreLost,
     StoreRegained,
 )
@@ -55,6 +56,7 @@
     )
     fields = {
         "revision": event.revision,
+        "era": event.era,
         "n_before": n_before,
         "n_now": len(registry.replicas_),
         "dropped": dropped[:20],
@@ -85,6 +87,14 @@
     return [LogEvent(log_events.REPLICAS_CHANGED, fields), *_drop(dropped)]
 
 
+@handles(StoreHistoryLost, needs=ReplicaRegistry)
+def on_history_lost(
+    state: HostState, event: StoreHistoryLost, now: float
+) -> list[Effect]:
+    """Report that all routes and replicas are read again."""
+    return [LogEvent(log_events.HISTORY_LOST, {"revision": event.revision})]
+
+
 @handles(StoreLost, needs=ReplicaRegistry)
 def on_lost(state: HostState, event: StoreLost, now: float) -> list[Effect]:
     """Record that the store is unreachable; the known routes and replicas stay."""
--- a/jackdawsill/gateway/_follower.py
+++ b/jackdawsill/gateway/_follower.py
@@ -12,6 +12,7 @@
     ReplicasListed,
     RoutesRead,
     StoreConfirmed,
+    StoreHistoryLost,
     StoreLost,
     StoreRegained,
 )
@@ -100,6 +101,7 @@
                 await self._watch_once()
             except HistoryLost:
                 self.needs_full_read_ = True
+                self.feed(StoreHistoryLost(self.known_revision() or 0))
             except StoreUnavailable as exc:
                 await self._on_unavailable(str(exc))
 
@@ -111,7 +113,9 @@
         self.feed(StoreConfirmed(snapshot.revision))
         if snapshot.routes is not None:
             self.feed(RoutesRead(snapshot.routes, STORE))
-        self.feed(ReplicasListed(snapshot.entries, snapshot.revision, STORE))
+        self.feed(
+            ReplicasListed(snapshot.entries, snapshot.revision, STORE, snapshot.era)
+        )
 
     async def _watch_once(self) -> None:
         base = self.known_revision() or 0
--- a/jackdawsill/gateway/_store.py
+++ b/jackdawsill/gateway/_store.py
@@ -14,11 +14,15 @@
 
 
 class StoreSnapshot(msgspec.Struct, frozen=True):
-    """All routes and replicas; changes after `revision` may be missing."""
+    """All routes and replicas; changes after `revision` may be missing.
+
+    `era` rises when the store returns from a copy of its data.
+    """
 
     routes: RouteSet | None
     entries: tuple[ReplicaEntry, ...]
     revision: int
+    era: int = 0
 
 
 class StoreChanges(msgspec.Struct, frozen=True):
--- a/jackdawsill/http1/__init__.py
+++ b/jackdawsill/http1/__init__.py
@@ -6,7 +6,11 @@
     ResponseFailure,
     end_to_end_headers,
 )
-from jackdawsill.http1._keep_alive_client import ExchangeFailed, KeepAliveClient
+from jackdawsill.http1._keep_alive_client import (
+    ExchangeFailed,
+    KeepAliveClient,
+    KeepAliveResponse,
+)
 from jackdawsill.http1._pool import encode_request
 from jackdawsill.http1._server import CallServer, OnRequest, RawRequest, encode_reply
 from jackdawsill.http1._sockets import enable_tcp_keepalive
@@ -16,6 +20,7 @@
     "CallServer",
     "ExchangeFailed",
     "KeepAliveClient",
+    "KeepAliveResponse",
     "OnRequest",
     "RawRequest",
     "ReplicaClient",
--- a/jackdawsill/http1/_keep_alive_client.py
+++ b/jackdawsill/http1/_keep_alive_client.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import httptools
+import msgspec
 
 from jackdawsill.http1._bounds import ResponseMeter
 from jackdawsill.http1._sockets import enable_tcp_keepalive
@@ -16,6 +17,14 @@
     """No complete response: not connected, connection lost, invalid, or too late."""
 
 
+class KeepAliveResponse(msgspec.Struct, frozen=True):
+    """A complete response; the names of its headers are in lower case."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
 class _KeepAliveConnection(asyncio.Protocol):
     """One connection of a `KeepAliveClient`."""
 
@@ -23,6 +32,7 @@
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.response: asyncio.Future | None = None
+        self.headers: dict[bytes, bytes] = {}
         self.body: list[bytes] = []
         self.meter = ResponseMeter(MAX_RESPONSE_BYTES)
         self.is_reusable = True
@@ -46,11 +56,16 @@
 
     def on_message_begin(self) -> None:
         """Begin a response; one without a request must not answer a later request."""
+        self.headers = {}
         self.body = []
         self.meter.start_response()
         if self.response is None:
             raise ValueError("a second response to one request")
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header; of several with one name the last counts."""
+        self.headers[name.lower()] = value
+
     def on_body(self, data: bytes) -> None:
         """Collect the body; raise ResponseTooLarge above MAX_RESPONSE_BYTES."""
         self.meter.add_body(len(data))
@@ -64,7 +79,9 @@
         response, self.response = self.response, None
         self.is_reusable = self.parser.should_keep_alive()
         if response is not None and not response.done():
-            response.set_result((self.parser.get_status_code(), b"".join(self.body)))
+            status = self.parser.get_status_code()
+            body = b"".join(self.body)
+            response.set_result(KeepAliveResponse(status, self.headers, body))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in progress."""
@@ -86,8 +103,8 @@
         self.address = address
         self._conn: _KeepAliveConnection | None = None
 
-    async def get(self, target: str, timeout_s: float) -> tuple[int, bytes]:
-        """Return status and body; raise ExchangeFailed without a complete response."""
+    async def get(self, target: str, timeout_s: float) -> KeepAliveResponse:
+        """Return the response; raise ExchangeFailed without a complete one."""
         try:
             async with asyncio.timeout(timeout_s):
                 conn = await self._connection()
--- a/jackdawsill/http1/tests/test_endless.py
+++ b/jackdawsill/http1/tests/test_endless.py
@@ -289,6 +289,11 @@
 class TestEndlessStore(_EndlessCase):
     """A store that sends without end fails the request and loses its connection."""
 
+    async def fetch(self, client: KeepAliveClient) -> tuple[int, bytes]:
+        """Return status and body of a response."""
+        response = await client.get("/x", WAIT_S)
+        return response.status, response.body
+
     async def test_in_place_of_an_answer(self):
         """Guards against unbounded memory for a response of the store."""
         for kind in ENDLESS.keys() - {"responses to other requests"}:
@@ -300,7 +305,7 @@
                 await eventually(lambda: not self.server.n_open)
                 self.assertLess(self.server.n_sent, SENT_BYTES_MAX)
                 self.server.is_endless = False
-                self.assertEqual(await client.get("/x", WAIT_S), (200, b"ok"))
+                self.assertEqual(await self.fetch(client), (200, b"ok"))
                 client.close()
                 await self.stop()
 
@@ -308,9 +313,9 @@
         """Guards against a second response that answers the next request."""
         await self.start("responses to other requests")
         client = KeepAliveClient(self.address)
-        self.assertEqual(await client.get("/x", WAIT_S), (200, b"no"))
+        self.assertEqual(await self.fetch(client), (200, b"no"))
         await eventually(lambda: not self.server.n_open)
         self.server.is_endless = False
-        self.assertEqual(await client.get("/x", WAIT_S), (200, b"ok"))
+        self.assertEqual(await self.fetch(client), (200, b"ok"))
         client.close()
         await self.stop()
--- a/jackdawsill/relaying/_log_events.py
+++ b/jackdawsill/relaying/_log_events.py
@@ -39,3 +39,9 @@
     "A peer sent routes that cannot be decompressed or decoded.",
     logbook.WARNING,
 )
+UPDATE_DROPPED = register_log_event(
+    2605,
+    "update_dropped",
+    "update of link {link_id} at revision {revision} dropped, known is {known}",
+    "A peer's update of replicas is not newer than what this host knows.",
+)
--- a/jackdawsill/relaying/_updates.py
+++ b/jackdawsill/relaying/_updates.py
@@ -98,9 +98,16 @@
         effects.append(
             EmitEvent(ReplicasListed(message.entries, message.revision, PEER))
         )
+    elif message.revision != revision:
+        effects.append(_log_dropped(link_id, message.revision, revision))
     return effects
 
 
+def _log_dropped(link_id: int, revision: int, known: int | None) -> LogEvent:
+    fields = {"link_id": link_id, "revision": revision, "known": known}
+    return LogEvent(log_events.UPDATE_DROPPED, fields)
+
+
 def use_stale_snapshot(state: HostState, now: float) -> list[Effect]:
     """Use old state once a started host has waited for current state in vain."""
     feed = state.component(UpdateFeed)
@@ -163,6 +170,8 @@
             message.may_lapse,
         )
         effects.append(EmitEvent(change))
+    elif message.written or message.removed:
+        effects.append(_log_dropped(link_id, message.revision, revision))
     return effects
 
 
