Reproduce what hosts make of a store that returns from a copy

The stand-in of the store returns from a copy: later writes are gone, revisions are given again, Store-Era rises, watches are cut.

--- a/jackdawsill/relaying/_log_events.py
+++ b/jackdawsill/relaying/_log_events.py
@@ -43,5 +43,5 @@
     2605,
     "update_dropped",
     "update of link {link_id} at revision {revision} dropped, known is {known}",
-    "A peer's update of replicas is not newer than what this host knows.",
+    "A peer's update of replicas is older than what this host knows.",
 )
--- a/jackdawsill/relaying/_updates.py
+++ b/jackdawsill/relaying/_updates.py
@@ -98,7 +98,7 @@
         effects.append(
             EmitEvent(ReplicasListed(message.entries, message.revision, PEER))
         )
-    elif message.revision != revision:
+    elif message.revision < (revision or 0):
         effects.append(_log_dropped(link_id, message.revision, revision))
     return effects
 
@@ -170,7 +170,7 @@
             message.may_lapse,
         )
         effects.append(EmitEvent(change))
-    elif message.written or message.removed:
+    elif (message.written or message.removed) and message.revision < (revision or 0):
         effects.append(_log_dropped(link_id, message.revision, revision))
     return effects
 
--- a/jackdawsill/relaying/tests/_fleet.py
+++ b/jackdawsill/relaying/tests/_fleet.py
@@ -3,6 +3,8 @@
 import random
 from collections import deque
 
+import msgspec
+
 from jackdawsill.core import (
     CloseLink,
     HostState,
@@ -51,6 +53,8 @@
         self.entries = {"r1": entry("r1")}
         self.written_at = {"r1": 1}  # name -> revision
         self.last_removed: tuple[str, ...] = ()
+        self.era = 1
+        self.copied: tuple[int, int, dict, dict] | None = None
 
     def write(self, name: str) -> None:
         """Register a replica."""
@@ -63,6 +67,23 @@
         del self.entries[name]
         self.revision += 1
 
+    def drain(self, name: str) -> None:
+        """Let a replica report that it drains."""
+        self.entries[name] = msgspec.structs.replace(self.entries[name], draining=True)
+        self.revision += 1
+        self.written_at[name] = self.revision
+
+    def copy(self) -> None:
+        """Take a copy of the contents."""
+        copied = dict(self.entries), dict(self.written_at)
+        self.copied = (self.revision, self.version, *copied)
+
+    def restore(self) -> None:
+        """Return from the copy."""
+        self.revision, self.version, entries, written_at = self.copied
+        self.entries, self.written_at = dict(entries), dict(written_at)
+        self.era += 1
+
     def configure(self) -> None:
         """Publish a new configuration."""
         self.version += 1
@@ -118,7 +139,8 @@
         self.handle(StoreRegained())
         self.n_reads += 1
         registry = self.state.component(ReplicaRegistry)
-        if registry.revision_ is None:
+        # A watch from a revision that the store does not have gets no changes.
+        if registry.revision_ is None or registry.revision_ > store.revision:
             entries = tuple(store.entries.values())
             self.handle(ReplicasListed(entries, store.revision, STORE))
         elif registry.revision_ < store.revision:
