Order the entries of one replica by its own count of writes

Callers: a request could reach a replica that had said that it leaves, since the copy from which the store returned still called it ready.

Cause: hosts took an entry at a later position of the store for newer. After a return it may be older: the replica wrote it before the one that is known. The entry states the process (born) and its count of writes (sequence); the count was not read.

Change: an entry of the same process with a lower count, or without counts one that calls a draining process ready, is ignored and named in the log. This holds for what is read from the store and from other hosts alike.

--- a/jackdawsill/forwarding/_log_events.py
+++ b/jackdawsill/forwarding/_log_events.py
@@ -41,7 +41,8 @@
     2505,
     "replicas_listed",
     "replica list read at revision {revision}: {n_now} replicas, before {n_before}",
-    "The complete list of replicas was read.",
+    "The complete list of replicas was read; entries of `older` were written before "
+    "the known ones and ignored.",
 )
 REPLICAS_CHANGED = register_log_event(
     2506,
--- a/jackdawsill/forwarding/_model.py
+++ b/jackdawsill/forwarding/_model.py
@@ -82,6 +82,7 @@
     draining: bool = False
     cold_s: float = 0.0  # time for which it is slow after its start
     incarnation: str = ""  # distinguishes runs of a process under one name
+    sequence: int = 0  # of what this run of the process has written, 0 if not stated
 
 
 class ForwardRequest(msgspec.Struct, frozen=True):
--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -29,6 +29,7 @@
         "fleet",
         "may_lapse_",
         "misdirected_",
+        "older_",
         "position_",
         "regions",
         "replicas_",
@@ -56,6 +57,8 @@
         self.position_: StorePosition | None = None
         self.changed_at_ = 0.0
         self.may_lapse_ = False  # as judged for the last change
+        # Names in the last update whose entries were older than the known ones.
+        self.older_: list[str] = []
         self.store_lost_at_: float | None = None
         self.store_regained_at_: float | None = None
 
@@ -92,16 +95,21 @@
 
         These are replicas that were removed, restarted or began to drain. `may_lapse`
         tells whether entries may be missing only because the store was unreachable;
-        None decides it by whether this host can reach the store.
+        None decides it by whether this host can reach the store. An entry that its
+        replica wrote before the known one is ignored.
         """
         if may_lapse is None:
             may_lapse = self._may_have_lapsed(now)
         self.may_lapse_ = may_lapse
         dropped = []
+        self.older_ = []
         for entry in written:
             self.misdirected_.pop(entry.name, None)
             known = self.replicas_.get(entry.name)
             if known is not None and _is_same_process(known.entry, entry):
+                if _is_older(entry, known.entry):
+                    self.older_.append(entry.name)
+                    continue
                 if entry.draining and not known.entry.draining:
                     dropped.append(entry.name)
                 known.entry = entry
@@ -289,3 +297,14 @@
         entry.address,
         entry.service,
     )
+
+
+def _is_older(entry: ReplicaEntry, known: ReplicaEntry) -> bool:
+    """Tell whether a process wrote an entry before the known one.
+
+    Without a count, only that it drains is certain: a draining process does not become
+    ready again. Without an incarnation the process may be another one.
+    """
+    if not entry.incarnation:
+        return False
+    return (entry.sequence, entry.draining) < (known.sequence, known.draining)
--- a/jackdawsill/forwarding/_store_handlers.py
+++ b/jackdawsill/forwarding/_store_handlers.py
@@ -61,6 +61,7 @@
         "n_before": n_before,
         "n_now": len(registry.replicas_),
         "dropped": dropped[:20],
+        "older": registry.older_[:20],
         "source": event.source,
     }
     effects: list[Effect] = [LogEvent(log_events.REPLICAS_LISTED, fields)]
@@ -92,6 +93,7 @@
         "removed": list(event.removed[:20]),
         "lapsed": [n for n in event.removed[:20] if n in registry.replicas_],
         "n_now": len(registry.replicas_),
+        "older": registry.older_[:20],
         "source": event.source,
     }
     return [LogEvent(log_events.REPLICAS_CHANGED, fields), *_drop(dropped)]
--- a/jackdawsill/forwarding/tests/test_registry.py
+++ b/jackdawsill/forwarding/tests/test_registry.py
@@ -173,6 +173,53 @@
         self.assertFalse(self.table.replicas_["docs-near"].is_ejected(100.0))
 
 
+class TestOrderOfEntries(unittest.TestCase):
+    """Of two entries of one process, the one that it wrote later counts."""
+
+    def setUp(self):
+        self.host = GatewayModel(single_route())
+        self.table = self.host.state.component(ReplicaRegistry)
+
+    def write(self, revision: int, era: int = 1, **fields) -> None:
+        """Feed an entry of one replica from the store."""
+        written = entry("docs-near", "docs", incarnation="7", **fields)
+        at = position_at(revision, era)
+        self.host.feed(ReplicasChanged((written,), (), at, "store"))
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether the replica is known to drain."""
+        return self.table.replicas_["docs-near"].entry.draining
+
+    def test_older_entry_at_a_later_position(self):
+        """Guards against calls to a draining replica that an old copy calls ready."""
+        self.write(60, sequence=20, draining=True)
+        self.write(70, sequence=1)
+        self.write(5, era=2, sequence=19)
+        self.assertTrue(self.is_draining)
+
+    def test_entry_without_count(self):
+        """Guards against the same for replicas that do not count their entries."""
+        self.write(60, draining=True)
+        self.write(5, era=2)
+        self.assertTrue(self.is_draining)
+
+    def test_entry_written_again(self):
+        """Guards against ignoring what a replica writes again after the return."""
+        self.write(60, sequence=20)
+        self.write(5, era=2, sequence=20, n_slots=9)
+        self.assertEqual(self.table.replicas_["docs-near"].entry.n_slots, 9)
+        self.write(6, era=2, sequence=21, draining=True)
+        self.assertTrue(self.is_draining)
+
+    def test_another_process_counts_anew(self):
+        """Guards against ignoring a replica that has started again under its name."""
+        self.write(60, sequence=20, draining=True)
+        again = entry("docs-near", "docs", incarnation="8", sequence=1)
+        self.host.feed(ReplicasChanged((again,), (), position_at(61), "store"))
+        self.assertFalse(self.is_draining)
+
+
 class TestPause(unittest.TestCase):
     """After a process pause, connections and known state may be outdated."""
 
