Keep replicas that the store's copy lacks until they can write again

Callers: after the store's return from a copy, a service whose replicas had started in the lost span had none until they had written their entries again.

Cause: a complete list drops what it lacks at once, unless the store was noticed to be away. A return can be so short that no request fails, or a peer tells of it first. Besides, the confirmation that comes before the list took over its position, so the list did not show that the era had changed, and the line store_restored was not logged.

Change: a list of a later era starts the time for which lapsed entries are kept (2 s); a position of another era is taken over with a complete list only.

--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -9,9 +9,9 @@
 from jackdawsill.forwarding._model import STORE_START, ReplicaEntry, StorePosition
 from jackdawsill.forwarding._replica import LiveReplica
 
-# Entries that expire while the store is unreachable (lapsed entries) are kept for this
-# time after it is reachable again. Live replicas register again within 2 s, according
-# to the platform's contract.
+# Entries that expire while the store is unreachable, or that the copy lacks from which
+# it returns (lapsed entries), are kept for this time after it is reachable again. Live
+# replicas register again within 2 s, according to the platform's contract.
 LAPSE_KEPT_S = 2.0
 # Assumed one-way network delays, until the opening of a connection was timed.
 SAME_REGION_DELAY_S = 0.001
@@ -76,6 +76,8 @@
         is missing only because the store was unreachable.
         """
         entries = tuple(entries)
+        if self.position_ is not None and position.era > self.position_.era:
+            self.store_regained_at_ = now
         names = {entry.name for entry in entries}
         gone = [name for name in self.replicas_ if name not in names]
         may_lapse = False if is_relayed else None
@@ -154,8 +156,11 @@
         return self.position_ or STORE_START
 
     def advance(self, position: StorePosition) -> None:
-        """Take over a position up to which nothing else has changed."""
-        if self.position_ is not None:
+        """Take over a position up to which nothing else has changed.
+
+        Only a complete list leads to another era.
+        """
+        if self.position_ is not None and position.era == self.position_.era:
             self.position_ = max(self.position_, position)
 
     def remove(self, name: str) -> None:
--- a/jackdawsill/forwarding/tests/test_registry.py
+++ b/jackdawsill/forwarding/tests/test_registry.py
@@ -15,6 +15,7 @@
     RouteCatalog,
     RouteSet,
     RoutesRead,
+    StoreConfirmed,
     StoreLost,
     StoreRegained,
     WeightedService,
@@ -220,6 +221,39 @@
         self.assertFalse(self.is_draining)
 
 
+class TestReturnFromCopy(unittest.TestCase):
+    """The list from the copy from which the store has returned."""
+
+    def setUp(self):
+        self.host = GatewayModel(single_route())
+        self.table = self.host.state.component(ReplicaRegistry)
+
+    def list_entries(self, *names: str, revision=5, era=2, source="store") -> None:
+        """Feed a complete list."""
+        entries = tuple(entry(name, "docs") for name in names)
+        at = position_at(revision, era)
+        self.host.feed(ReplicasListed(entries, at, source))
+
+    def test_replica_that_the_copy_lacks(self):
+        """Guards against losing replicas that have not written their entries again."""
+        self.list_entries("docs-far")
+        self.assertIn("docs-near", self.table.replicas_)
+        self.host.now += 2.1
+        self.host.feed(Tick())
+        self.assertNotIn("docs-near", self.table.replicas_)
+
+    def test_confirmation_before_the_list(self):
+        """Guards against taking the list for one of the era that is known."""
+        self.host.feed(StoreConfirmed(position_at(5, era=2)))
+        self.test_replica_that_the_copy_lacks()
+
+    def test_list_of_a_peer_before_the_own_one(self):
+        """Guards against the same once a peer has told of the return first."""
+        self.list_entries("docs-near", "docs-far", source="peer")
+        self.list_entries("docs-far", revision=6)
+        self.assertIn("docs-near", self.table.replicas_)
+
+
 class TestPause(unittest.TestCase):
     """After a process pause, connections and known state may be outdated."""
 
