Hold back replicas of the store's copy that had left before its return

Callers: attempts went to replicas that had ended, or that had left and still served, since the copy from which the store returned listed them.

Cause: a complete list was taken as it came. Whether an entry of the copy is alive can't be told from the store's numbers.

Change: removed replicas are remembered for 300 s. An entry of a list of a later era that is of the same process, and was not written after its last known one, is held back until it is written again or removed; the store removes those of ended replicas after three heartbeats. One that is still listed after 8 s is used, since an entry of a live replica need not change.

--- a/jackdawsill/forwarding/_log_events.py
+++ b/jackdawsill/forwarding/_log_events.py
@@ -42,7 +42,8 @@
     "replicas_listed",
     "replica list read at revision {revision}: {n_now} replicas, before {n_before}",
     "The complete list of replicas was read; entries of `older` were written before "
-    "the known ones and ignored.",
+    "the known ones and ignored. Those of `held_back` are of replicas that had left "
+    "before the store returned from a copy, and are not used until written again.",
 )
 REPLICAS_CHANGED = register_log_event(
     2506,
--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -8,6 +8,7 @@
 from jackdawsill.forwarding._fleet import FleetSize
 from jackdawsill.forwarding._model import STORE_START, ReplicaEntry, StorePosition
 from jackdawsill.forwarding._replica import LiveReplica
+from jackdawsill.forwarding._retired import RetiredReplicas
 
 # Entries that expire while the store is unreachable, or that the copy lacks from which
 # it returns (lapsed entries), are kept for this time after it is reachable again. Live
@@ -33,6 +34,7 @@
         "position_",
         "regions",
         "replicas_",
+        "retired",
         "rtts_",
         "store_lost_at_",
         "store_regained_at_",
@@ -49,6 +51,7 @@
         self.regions = regions
         self.replicas_: dict[str, LiveReplica] = {}
         self.by_service_: dict[str, list[LiveReplica]] = {}
+        self.retired = RetiredReplicas()
         # Entries of replicas that have ended although the entries are still present.
         self.misdirected_: dict[str, ReplicaEntry] = {}
         self._digest: int | None = None
@@ -80,6 +83,7 @@
             self.store_regained_at_ = now
         names = {entry.name for entry in entries}
         gone = [name for name in self.replicas_ if name not in names]
+        entries = self.retired.hold_back(entries, position, now)
         may_lapse = False if is_relayed else None
         self.misdirected_.clear()
         return self.apply_changes(entries, gone, position, now, may_lapse=may_lapse)
@@ -119,16 +123,18 @@
                 continue
             if known is not None:
                 dropped.append(entry.name)
+            self.retired.forget(entry.name)
             self.replicas_[entry.name] = LiveReplica(entry, now)
         for name in removed:
             self.misdirected_.pop(name, None)
+            self.retired.forget(name)
             known = self.replicas_.get(name)
             if known is None:
                 continue
             if may_lapse and not known.entry.draining:
                 known.lapsed_at = now if known.lapsed_at is None else known.lapsed_at
                 continue
-            del self.replicas_[name]
+            self._retire(name, now)
             dropped.append(name)
         self.position_ = position
         self.changed_at_ = now
@@ -145,7 +151,7 @@
             if replica.lapsed_at is not None and now >= replica.lapsed_at + LAPSE_KEPT_S
         ]
         for name in gone:
-            del self.replicas_[name]
+            self._retire(name, now)
         if gone:
             self._rebuild_index()
         return gone
@@ -163,6 +169,11 @@
         if self.position_ is not None and position.era == self.position_.era:
             self.position_ = max(self.position_, position)
 
+    def _retire(self, name: str, now: float) -> None:
+        """Remove a replica that has left, and remember it."""
+        entry = self.replicas_.pop(name).entry
+        self.retired.retire(entry, self.known_position.era, now)
+
     def remove(self, name: str) -> None:
         """Remove a replica that has ended although its entry is still present."""
         replica = self.replicas_.pop(name, None)
--- a/jackdawsill/forwarding/_store_handlers.py
+++ b/jackdawsill/forwarding/_store_handlers.py
@@ -18,6 +18,7 @@
 )
 from jackdawsill.forwarding._events import (
     PEER,
+    STORE,
     ReplicasChanged,
     ReplicasExpired,
     ReplicasListed,
@@ -62,6 +63,7 @@
         "n_now": len(registry.replicas_),
         "dropped": dropped[:20],
         "older": registry.older_[:20],
+        "held_back": sorted(registry.retired.held_back_)[:20],
         "source": event.source,
     }
     effects: list[Effect] = [LogEvent(log_events.REPLICAS_LISTED, fields)]
@@ -137,12 +139,19 @@
 
 @handles(Tick, needs=ReplicaRegistry)
 def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
-    """Remove replicas whose entries expired and were not written again."""
-    gone = state.component(ReplicaRegistry).expire(now)
+    """Remove expired replicas, and use entries that were held back for long enough."""
+    registry = state.component(ReplicaRegistry)
+    gone = registry.expire(now)
+    effects: list[Effect] = []
+    due = tuple(registry.retired.take_due(now))
+    if due:
+        at = registry.known_position
+        effects.append(EmitEvent(ReplicasChanged(due, (), at, STORE, at)))
     if not gone:
-        return []
+        return effects
     fields = {"replicas": gone[:20], "n": len(gone)}
     return [
+        *effects,
         LogEvent(log_events.REPLICAS_EXPIRED, fields),
         *_drop(gone),
         EmitEvent(ReplicasExpired(tuple(gone))),
--- a/jackdawsill/forwarding/tests/test_registry.py
+++ b/jackdawsill/forwarding/tests/test_registry.py
@@ -20,6 +20,7 @@
     StoreRegained,
     WeightedService,
 )
+from jackdawsill.forwarding._retired import HELD_BACK_S
 from jackdawsill.forwarding.tests._gateway_model import (
     REGIONS,
     GatewayModel,
@@ -242,6 +243,52 @@
         self.host.feed(Tick())
         self.assertNotIn("docs-near", self.table.replicas_)
 
+    def remove(self, name: str, revision: int) -> None:
+        """Feed that a replica has left."""
+        at = position_at(revision)
+        self.host.feed(ReplicasChanged((), (name,), at, "store"))
+
+    def test_replica_that_had_left(self):
+        """Guards against calls to a replica that only the copy still lists."""
+        self.remove("docs-near", 60)
+        for source in ("store", "peer"):
+            self.list_entries("docs-near", "docs-far", source=source)
+            self.assertNotIn("docs-near", self.table.replicas_)
+        again = entry("docs-near", "docs")
+        at = position_at(6, era=2)
+        self.host.feed(ReplicasChanged((again,), (), at, "store"))
+        self.assertIn("docs-near", self.table.replicas_)
+
+    def test_replica_that_stays_listed(self):
+        """Guards against a live replica that is never used since nothing changes."""
+        self.remove("docs-near", 60)
+        self.list_entries("docs-near", "docs-far")
+        self.host.now += HELD_BACK_S / 2
+        self.list_entries("docs-near", "docs-far", revision=6)
+        self.host.feed(Tick())
+        self.assertNotIn("docs-near", self.table.replicas_)
+        self.host.now += HELD_BACK_S / 2
+        self.host.feed(Tick())
+        self.assertIn("docs-near", self.table.replicas_)
+        self.list_entries("docs-near", "docs-far", revision=7)
+        self.assertIn("docs-near", self.table.replicas_)
+
+    def test_removed_while_held_back(self):
+        """Guards against using an entry that the store has removed meanwhile."""
+        self.remove("docs-near", 60)
+        self.list_entries("docs-near", "docs-far")
+        at = position_at(6, era=2)
+        self.host.feed(ReplicasChanged((), ("docs-near",), at, "store"))
+        self.host.now += 2 * HELD_BACK_S
+        self.host.feed(Tick())
+        self.assertNotIn("docs-near", self.table.replicas_)
+
+    def test_list_of_the_same_era(self):
+        """Guards against holding back a replica that has registered again."""
+        self.remove("docs-near", 60)
+        self.list_entries("docs-near", "docs-far", revision=61, era=1)
+        self.assertIn("docs-near", self.table.replicas_)
+
     def test_confirmation_before_the_list(self):
         """Guards against taking the list for one of the era that is known."""
         self.host.feed(StoreConfirmed(position_at(5, era=2)))
