Reproduce six faults around a return of the store from a copy

Found by reading: what a host does with a list of a later era when its own memory, or that of its relay, differs from the copy.

--- a/jackdawsill/forwarding/tests/test_registry.py
+++ b/jackdawsill/forwarding/tests/test_registry.py
@@ -248,6 +248,16 @@
         at = position_at(revision)
         self.host.feed(ReplicasChanged((), (name,), at, "store"))
 
+    def write(self, name: str, revision: int, incarnation="7", **fields) -> None:
+        """Feed that a replica has written its entry."""
+        written = entry(name, "docs", incarnation=incarnation, **fields)
+        at = position_at(revision)
+        self.host.feed(ReplicasChanged((written,), (), at, "store"))
+
+    def ready_names(self, service: str) -> list[str]:
+        """Return the names of the replicas that may be used."""
+        return [r.entry.name for r in self.table.by_service_.get(service, ())]
+
     def test_replica_that_had_left(self):
         """Guards against calls to a replica that only the copy still lists."""
         self.remove("docs-near", 60)
@@ -294,6 +304,52 @@
         self.host.feed(StoreConfirmed(position_at(5, era=2)))
         self.test_replica_that_the_copy_lacks()
 
+    def test_older_entry_of_a_lapsed_replica(self):
+        """Guards against removing a listed replica since its entry was older."""
+        self.write("docs-near", 60, sequence=9)
+        self.host.feed(StoreLost("test"))
+        self.remove("docs-near", 61)
+        self.host.feed(StoreRegained())
+        older = entry("docs-near", "docs", incarnation="7", sequence=8)
+        at = position_at(5, era=2)
+        self.host.feed(ReplicasListed((older,), at, "store"))
+        self.host.now += 2.1
+        self.host.feed(Tick())
+        self.assertIn("docs-near", self.table.replicas_)
+
+    def test_earlier_process_under_the_same_name(self):
+        """Guards against an ended process that replaces the one started after it."""
+        for left in (False, True):
+            with self.subTest(left=left):
+                self.setUp()
+                self.write("docs-near", 60, incarnation="12", draining=True)
+                if left:
+                    self.remove("docs-near", 61)
+                earlier = entry("docs-near", "docs", incarnation="7", sequence=30)
+                at = position_at(5, era=2)
+                self.host.feed(ReplicasListed((earlier,), at, "store"))
+                self.assertNotIn("docs-near", self.ready_names("docs"))
+                self.host.now += HELD_BACK_S
+                self.host.feed(Tick())
+                self.assertIn("docs-near", self.ready_names("docs"))
+
+    def test_replica_that_the_first_list_of_a_peer_lacks(self):
+        """Guards against losing all replicas by the list of a host without memory."""
+        self.list_entries("docs-far", source="peer")
+        self.list_entries("docs-far", source="peer", revision=6)
+        self.assertIn("docs-near", self.table.replicas_)
+        self.host.now += 2.1
+        self.host.feed(Tick())
+        self.assertNotIn("docs-near", self.table.replicas_)
+
+    def test_replica_that_only_the_first_list_lacks(self):
+        """Guards against holding back a replica that has written its entry again."""
+        draining = entry("docs-near", "docs", draining=True)
+        self.host.feed(ReplicasChanged((draining,), (), position_at(60), "store"))
+        self.list_entries("docs-far")
+        self.list_entries("docs-near", "docs-far", revision=6)
+        self.assertIn("docs-near", self.table.replicas_)
+
     def test_list_of_a_peer_before_the_own_one(self):
         """Guards against the same once a peer has told of the return first."""
         self.list_entries("docs-near", "docs-far", source="peer")
--- a/jackdawsill/gateway/tests/test_follower.py
+++ b/jackdawsill/gateway/tests/test_follower.py
@@ -1,5 +1,6 @@
 """What a relay sends on when it has read the store after a silence."""
 
+import asyncio
 import random
 import tempfile
 import unittest
@@ -7,8 +8,10 @@
 
 from jackdawsill.core import PeerMessageRead, SendPeer, reduce
 from jackdawsill.forwarding import (
+    PEER,
     ReplicaEntry,
     ReplicaRegistry,
+    ReplicasListed,
     RouteSet,
     StorePosition,
 )
@@ -21,7 +24,7 @@
     load_gateway_settings,
 )
 from jackdawsill.gateway.tests.test_settings import VALID
-from jackdawsill.relaying import NewsChange, NewsSnapshot, NewsWanted
+from jackdawsill.relaying import NewsChange, NewsSnapshot, NewsWanted, UpdateFeed
 
 SILENCE_S = 30.0
 ROUTES = RouteSet(4, (), {})
@@ -46,8 +49,8 @@
         )
 
 
-class TestRelayedAge(unittest.IsolatedAsyncioTestCase):
-    """What was just read is passed on as current."""
+class _FollowerCase(unittest.IsolatedAsyncioTestCase):
+    """A follower that feeds the state of a host."""
 
     def setUp(self):
         self.now = 100.0
@@ -76,6 +79,10 @@
             if isinstance(effect, SendPeer):
                 self.sent.append(effect.message)
 
+
+class TestRelayedAge(_FollowerCase):
+    """What was just read is passed on as current."""
+
     async def test_after_a_silence(self):
         """Guards against a fleet that turns to the store after it is readable again.
 
@@ -94,3 +101,33 @@
                 ages = [m.age_s for m in self.sent if isinstance(m, kind)]
                 self.assertTrue(ages)
                 self.assertEqual(set(ages), {0.0})
+
+
+class TestEndedEra(_FollowerCase):
+    """An answer that is read after other hosts have told of the store's return."""
+
+    async def test_late_answer_to_a_watch(self):
+        """Guards against going back to what was written before the return."""
+        await self.follower._read_all()
+        watching = asyncio.Event()
+        answer = asyncio.Event()
+        watch = self.follower.store.watch
+
+        async def watch_late(position, wait_s):
+            watching.set()
+            await answer.wait()
+            return await watch(position, wait_s)
+
+        self.follower.store.watch = watch_late
+        task = asyncio.create_task(self.follower._watch_once())
+        await watching.wait()
+        self.now += SILENCE_S
+        after_return = StorePosition(2, 3)
+        self.feed(ReplicasListed((entry("r1"),), after_return, PEER))
+        confirmed_at = self.state.component(UpdateFeed).confirmed_at_
+        answer.set()
+        await task
+        registry = self.state.component(ReplicaRegistry)
+        self.assertEqual(registry.position_, after_return)
+        self.assertEqual(list(registry.replicas_), ["r1"])
+        self.assertEqual(self.state.component(UpdateFeed).confirmed_at_, confirmed_at)
--- a/jackdawsill/relaying/tests/_fleet.py
+++ b/jackdawsill/relaying/tests/_fleet.py
@@ -56,6 +56,7 @@
         self.last_removed: tuple[str, ...] = ()
         self.era = 1
         self.copied: tuple[int, int, dict, dict] | None = None
+        self.lost: tuple[int, dict] | None = None  # until it is written again
 
     def write(self, name: str) -> None:
         """Register a replica."""
@@ -81,10 +82,29 @@
 
     def restore(self) -> None:
         """Return from the copy."""
+        if self.lost is None:
+            self.lost = self.version, self.entries
         self.revision, self.version, entries, written_at = self.copied
         self.entries, self.written_at = dict(entries), dict(written_at)
         self.era += 1
 
+    def write_again(self) -> None:
+        """Let the writers make their lost changes again."""
+        if self.lost is None:
+            return
+        version, entries = self.lost
+        self.lost = None
+        for name in sorted(self.entries.keys() - entries.keys()):
+            self.remove(name)
+        for name in sorted(entries):
+            if self.entries.get(name) != entries[name]:
+                self.entries[name] = entries[name]
+                self.revision += 1
+                self.written_at[name] = self.revision
+        if version > self.version:
+            self.version = version
+            self.revision += 1
+
     def configure(self) -> None:
         """Publish a new configuration."""
         self.version += 1
--- a/jackdawsill/relaying/tests/test_restored.py
+++ b/jackdawsill/relaying/tests/test_restored.py
@@ -9,6 +9,7 @@
     ReplicasListed,
     StorePosition,
 )
+from jackdawsill.forwarding._retired import HELD_BACK_S
 from jackdawsill.relaying._messages import (
     NewsBeat,
     NewsChange,
@@ -70,6 +71,19 @@
         self.fleet.run(6.0)
         self.assertEqual(self.unaware_of_drain("r2"), [])
 
+    def test_replica_that_stays_listed_is_used_by_all_hosts(self):
+        """Guards against a live replica of the copy that only its reader uses."""
+        fleet = Fleet(12)
+        fleet.run(6.0)
+        fleet.store.write("r2")
+        fleet.run(1.0)
+        fleet.store.copy()
+        fleet.store.remove("r2")
+        fleet.run(1.0)
+        fleet.store.restore()
+        fleet.run(HELD_BACK_S + 1.0)
+        self.assertEqual(fleet.outdated_hosts(), [])
+
 
 class TestEras(unittest.TestCase):
     """Updates of different eras of the store, on the link to a relay."""
--- a/jackdawsill/relaying/tests/test_search.py
+++ b/jackdawsill/relaying/tests/test_search.py
@@ -12,8 +12,8 @@
 )
 
 from jackdawsill.core.tests.searches import search, search_broken
-from jackdawsill.forwarding import ReplicaRegistry
-from jackdawsill.relaying import _feed, _handlers, _updates
+from jackdawsill.forwarding import ReplicaRegistry, StorePosition
+from jackdawsill.relaying import _feed, _handlers, _messages, _updates
 from jackdawsill.relaying.tests._fleet import Fleet
 
 N_HOSTS = 6
@@ -21,10 +21,12 @@
 # is the shortest limit that users set; CALM_S is the window of the users' sites.
 IN_FORCE_S = 3.0
 CALM_S = 4.0
+# The store returns from copies up to this old.
+COPY_AGE_MAX_S = 15.0
 SEARCH = search(60, 25)
 # Some of the faults need several hundred examples; a search ends at the first finding.
 BROKEN = search_broken(3000, 25)
-change = st.sampled_from(("write", "remove", "configure"))
+change_kind = st.sampled_from(("write", "remove", "configure"))
 host = st.sampled_from([f"h{i}" for i in range(N_HOSTS)])
 
 
@@ -37,6 +39,7 @@
         self.fleet.is_slow = True
         self.disturbed = dict.fromkeys(self.fleet.hosts, self.fleet.now)
         self.n_names = 1
+        self.copied_at = -COPY_AGE_MAX_S
         # States of the store: (time, configuration version, names of replicas).
         self.history: deque = deque()
         self.note()
@@ -72,7 +75,7 @@
             self.fleet.run(0.1)
             self.check()
 
-    @rule(whats=st.lists(change, min_size=1, max_size=4))
+    @rule(whats=st.lists(change_kind, min_size=1, max_size=4))
     def change(self, whats):
         """The store changes at one or several successive ticks."""
         for what in whats:
@@ -90,6 +93,44 @@
             store.remove(min(store.entries))
         self.note()
 
+    @rule()
+    def copy(self):
+        """The store takes a copy of its contents."""
+        if self.fleet.store.lost is None:
+            self.fleet.store.copy()
+            self.copied_at = self.fleet.now
+
+    @rule(
+        whats=st.lists(change_kind, max_size=6),
+        away_s=st.sampled_from((0.0, 0.3, 1.0)),
+        again_s=st.sampled_from((0.0, 1.5)),
+    )
+    def return_from_copy(self, whats, away_s, again_s):
+        """The store is away after some changes, and returns from a copy.
+
+        It is the last one if that is recent, or one from before the changes. What was
+        written since is written again `again_s` seconds after the return.
+        """
+        store = self.fleet.store
+        if self.fleet.now - self.copied_at > COPY_AGE_MAX_S:
+            self.copy()
+        for what in whats:
+            self._change(what)
+            self.time_passes(0.1)
+        reached = [h for h in self.fleet.hosts.values() if h.reaches_store]
+        for known in reached:
+            known.reaches_store = False
+            self.disturbed[known.address] = self.fleet.now
+        store.restore()
+        self.note()
+        self.time_passes(away_s)
+        for known in reached:
+            known.reaches_store = True
+            self.disturbed[known.address] = self.fleet.now
+        self.time_passes(again_s)
+        store.write_again()
+        self.note()
+
     @rule(address=host)
     def restart(self, address):
         """A host restarts."""
@@ -168,3 +209,11 @@
             mock.patch.object(_handlers, "broadcast_change", routes_only),
             mock.patch.object(_updates, "_is_lacking", lambda state, message: False),
         )
+
+    def test_updates_ordered_by_revision_alone(self):
+        """Guards against a search that misses what a return from a copy hides."""
+        revision_alone = property(lambda message: StorePosition(1, message.revision))
+        self.finds(
+            "replicas",
+            mock.patch.object(_messages.PositionedMessage, "position", revision_alone),
+        )
