Keep a lapsed replica that the store lists with an older entry

Callers: a live replica was dropped 2 s after the store's return, and stayed unknown until it wrote a change.

Cause: an entry that is older than the known one was skipped before the mark was cleared that its removal may have been a lapse. The entry shows that the store lists the replica, whatever it says.

--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -113,13 +113,14 @@
             self.misdirected_.pop(entry.name, None)
             known = self.replicas_.get(entry.name)
             if known is not None and _is_same_process(known.entry, entry):
+                # Also an older entry shows that the store lists the replica.
+                known.lapsed_at = None
                 if _is_older(entry, known.entry):
                     self.older_.append(entry.name)
                     continue
                 if entry.draining and not known.entry.draining:
                     dropped.append(entry.name)
                 known.entry = entry
-                known.lapsed_at = None
                 continue
             if known is not None:
                 dropped.append(entry.name)
