Record the era of the list by which a replica was removed

Callers: a replica that the first list after a return lacks, and the next one has, was not used for 8 s, although it had written its entry again.

Cause: it was remembered as removed in the era before, since the position of the update was taken over after its removals. So the second list was taken for the copy.

--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -107,6 +107,7 @@
         if may_lapse is None:
             may_lapse = self._may_have_lapsed(now)
         self.may_lapse_ = may_lapse
+        self.position_ = position
         dropped = []
         self.older_ = []
         for entry in written:
@@ -137,7 +138,6 @@
                 continue
             self._retire(name, now)
             dropped.append(name)
-        self.position_ = position
         self.changed_at_ = now
         self._rebuild_index()
         return dropped
