Do not take the expiry of an entry for a replica's leaving

Callers: live replicas were not used for 8 s on a host that had missed that they had written their entries again, once the store returned from a copy a second time.

Cause: replicas that expired, since the copy had lacked them for 2 s, were remembered as having left. The next copy lists them, and the host held them back.

Change: only a removal by the store at a new position is remembered.

--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -106,6 +106,8 @@
         """
         if may_lapse is None:
             may_lapse = self._may_have_lapsed(now)
+        # A peer removes lapsed entries at a position that is known already.
+        has_expired = position == self.position_
         self.may_lapse_ = may_lapse
         self.position_ = position
         dropped = []
@@ -136,7 +138,9 @@
             if may_lapse and not known.entry.draining:
                 known.lapsed_at = now if known.lapsed_at is None else known.lapsed_at
                 continue
-            self._retire(name, now)
+            if not has_expired:
+                self.retired.retire(known.entry, position.era, now)
+            del self.replicas_[name]
             dropped.append(name)
         self.changed_at_ = now
         self._rebuild_index()
@@ -152,7 +156,7 @@
             if replica.lapsed_at is not None and now >= replica.lapsed_at + LAPSE_KEPT_S
         ]
         for name in gone:
-            self._retire(name, now)
+            del self.replicas_[name]
         if gone:
             self._rebuild_index()
         return gone
@@ -170,11 +174,6 @@
         if self.position_ is not None and position.era == self.position_.era:
             self.position_ = max(self.position_, position)
 
-    def _retire(self, name: str, now: float) -> None:
-        """Remove a replica that has left, and remember it."""
-        entry = self.replicas_.pop(name).entry
-        self.retired.retire(entry, self.known_position.era, now)
-
     def remove(self, name: str) -> None:
         """Remove a replica that has ended although its entry is still present."""
         replica = self.replicas_.pop(name, None)
--- a/jackdawsill/forwarding/tests/test_registry.py
+++ b/jackdawsill/forwarding/tests/test_registry.py
@@ -283,6 +283,25 @@
         self.list_entries("docs-near", "docs-far", revision=7)
         self.assertIn("docs-near", self.table.replicas_)
 
+    def test_expired_replica_that_a_later_copy_lists(self):
+        """Guards against holding back a replica that no entry said had left."""
+        for source in ("own", "peer"):
+            with self.subTest(expired_at=source):
+                self.setUp()
+                self.list_entries("docs-far")
+                if source == "peer":
+                    at = position_at(5, era=2)
+                    expired = ReplicasChanged(
+                        (), ("docs-near",), at, "peer", at, may_lapse=False
+                    )
+                    self.host.feed(expired)
+                else:
+                    self.host.now += 2.1
+                    self.host.feed(Tick())
+                self.assertNotIn("docs-near", self.table.replicas_)
+                self.list_entries("docs-near", "docs-far", era=3)
+                self.assertIn("docs-near", self.table.replicas_)
+
     def test_removed_while_held_back(self):
         """Guards against using an entry that the store has removed meanwhile."""
         self.remove("docs-near", 60)
--- a/jackdawsill/relaying/tests/_fleet.py
+++ b/jackdawsill/relaying/tests/_fleet.py
@@ -53,6 +53,7 @@
         self.version = 1
         self.entries = {"r1": entry("r1")}
         self.written_at = {"r1": 1}  # name -> revision
+        self.removed_at: dict[str, int] = {}
         self.last_removed: tuple[str, ...] = ()
         self.era = 1
         self.copied: tuple[int, int, dict, dict] | None = None
@@ -68,6 +69,7 @@
         """Remove a replica."""
         del self.entries[name]
         self.revision += 1
+        self.removed_at[name] = self.revision
 
     def drain(self, name: str) -> None:
         """Let a replica report that it drains."""
@@ -86,6 +88,7 @@
             self.lost = self.version, self.entries
         self.revision, self.version, entries, written_at = self.copied
         self.entries, self.written_at = dict(entries), dict(written_at)
+        self.removed_at.clear()
         self.era += 1
 
     def write_again(self) -> None:
@@ -171,7 +174,11 @@
             entries = tuple(store.entries.values())
             self.handle(ReplicasListed(entries, store.position, STORE))
         elif known < store.position:
-            removed = tuple(n for n in registry.replicas_ if n not in store.entries)
+            removed = tuple(
+                name
+                for name, revision in store.removed_at.items()
+                if revision > known.revision and name not in store.entries
+            )
             written = tuple(
                 e
                 for name, e in store.entries.items()
