Hold back the copy's entry of a process that was replaced since

Callers: attempts went to a process that had ended, or that had said it leaves and was started again, since the copy lists the earlier process under the same id.

Cause: entries of different processes under one id had no order, so the earlier one replaced the later one, and its draining state with it.

Change: of two processes under one id the one that was born later counts; the earlier one of a first list of an era is held back like that of a replica that had left. Only lists are judged so: what is written after the return always counts, also if the clock of a replica's machine was set back.

--- /dev/null
+++ b/jackdawsill/forwarding/_entry_order.py
@@ -0,0 +1,31 @@
+"""Order of the entries that are written under one name."""
+
+from jackdawsill.forwarding._model import ReplicaEntry
+
+
+def is_same_process(known: ReplicaEntry, entry: ReplicaEntry) -> bool:
+    """Tell whether two entries of one name describe the same run of a process."""
+    return (known.incarnation, known.address, known.service) == (
+        entry.incarnation,
+        entry.address,
+        entry.service,
+    )
+
+
+def is_older(entry: ReplicaEntry, known: ReplicaEntry) -> bool:
+    """Tell whether a process wrote an entry before the known one.
+
+    Without a count, only that it drains is certain: a draining process does not become
+    ready again. Without an incarnation the process may be another one.
+    """
+    if not entry.incarnation:
+        return False
+    return (entry.sequence, entry.draining) < (known.sequence, known.draining)
+
+
+def is_earlier_process(entry: ReplicaEntry, known: ReplicaEntry) -> bool:
+    """Tell whether an entry's process started before that of the known entry."""
+    if not entry.incarnation:
+        return False
+    started, known_started = entry.incarnation, known.incarnation
+    return (len(started), started) < (len(known_started), known_started)
--- a/jackdawsill/forwarding/_model.py
+++ b/jackdawsill/forwarding/_model.py
@@ -81,7 +81,9 @@
     n_slots: int
     draining: bool = False
     cold_s: float = 0.0  # time for which it is slow after its start
-    incarnation: str = ""  # distinguishes runs of a process under one name
+    # Number of the run of the process under this name: later ones are greater. Empty if
+    # not stated.
+    incarnation: str = ""
     sequence: int = 0  # of what this run of the process has written, 0 if not stated
 
 
--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -5,6 +5,7 @@
 import zlib
 from collections.abc import Collection, Iterable
 
+from jackdawsill.forwarding._entry_order import is_older, is_same_process
 from jackdawsill.forwarding._fleet import FleetSize
 from jackdawsill.forwarding._model import STORE_START, ReplicaEntry, StorePosition
 from jackdawsill.forwarding._replica import LiveReplica
@@ -78,15 +79,16 @@
         A list relayed by a peer comes from a store that the peer can reach, so no entry
         is missing only because the store was unreachable.
         """
-        entries = tuple(entries)
+        replaced = {}
         if self.position_ is not None and position.era > self.position_.era:
             self.store_regained_at_ = now
-        names = {entry.name for entry in entries}
+            replaced = {name: r.entry for name, r in self.replicas_.items()}
+        usable = self.retired.select_usable(entries, replaced, position.era, now)
+        names = {entry.name for entry in usable}
         gone = [name for name in self.replicas_ if name not in names]
-        entries = self.retired.hold_back(entries, position, now)
         may_lapse = False if is_relayed else None
         self.misdirected_.clear()
-        return self.apply_changes(entries, gone, position, now, may_lapse=may_lapse)
+        return self._apply(usable, gone, position, now, may_lapse=may_lapse)
 
     def apply_changes(
         self,
@@ -104,6 +106,20 @@
         None decides it by whether this host can reach the store. An entry that its
         replica wrote before the known one is ignored.
         """
+        removed = tuple(removed)
+        for name in removed:
+            self.retired.forget(name)
+        return self._apply(written, removed, position, now, may_lapse=may_lapse)
+
+    def _apply(
+        self,
+        written: Iterable[ReplicaEntry],
+        removed: Iterable[str],
+        position: StorePosition,
+        now: float,
+        *,
+        may_lapse: bool | None,
+    ) -> list[str]:
         if may_lapse is None:
             may_lapse = self._may_have_lapsed(now)
         # A peer removes lapsed entries at a position that is known already.
@@ -114,11 +130,12 @@
         self.older_ = []
         for entry in written:
             self.misdirected_.pop(entry.name, None)
+            self.retired.forget(entry.name)
             known = self.replicas_.get(entry.name)
-            if known is not None and _is_same_process(known.entry, entry):
+            if known is not None and is_same_process(known.entry, entry):
                 # Also an older entry shows that the store lists the replica.
                 known.lapsed_at = None
-                if _is_older(entry, known.entry):
+                if is_older(entry, known.entry):
                     self.older_.append(entry.name)
                     continue
                 if entry.draining and not known.entry.draining:
@@ -127,11 +144,9 @@
                 continue
             if known is not None:
                 dropped.append(entry.name)
-            self.retired.forget(entry.name)
             self.replicas_[entry.name] = LiveReplica(entry, now)
         for name in removed:
             self.misdirected_.pop(name, None)
-            self.retired.forget(name)
             known = self.replicas_.get(name)
             if known is None:
                 continue
@@ -304,23 +319,3 @@
                 by_service.setdefault(replica.entry.service, []).append(replica)
         self.by_service_ = by_service
         self._digest = None
-
-
-def _is_same_process(known: ReplicaEntry, entry: ReplicaEntry) -> bool:
-    """Tell whether two entries of one name describe the same run of a process."""
-    return (known.incarnation, known.address, known.service) == (
-        entry.incarnation,
-        entry.address,
-        entry.service,
-    )
-
-
-def _is_older(entry: ReplicaEntry, known: ReplicaEntry) -> bool:
-    """Tell whether a process wrote an entry before the known one.
-
-    Without a count, only that it drains is certain: a draining process does not become
-    ready again. Without an incarnation the process may be another one.
-    """
-    if not entry.incarnation:
-        return False
-    return (entry.sequence, entry.draining) < (known.sequence, known.draining)
--- a/jackdawsill/forwarding/_retired.py
+++ b/jackdawsill/forwarding/_retired.py
@@ -1,10 +1,11 @@
 """Replicas that have left, which a copy of the store may still list."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
-from jackdawsill.forwarding._model import ReplicaEntry, StorePosition
+from jackdawsill.forwarding._entry_order import is_earlier_process, is_same_process
+from jackdawsill.forwarding._model import ReplicaEntry
 
 # A replica that has left is remembered for this time, longer than the store's copy is
 # old: "some seconds" according to the platform's contract.
@@ -24,7 +25,11 @@
 
 
 class RetiredReplicas:
-    """Hold back listed entries of replicas that left in an earlier era of the store."""
+    """Hold back listed entries that date from before the store's return from a copy.
+
+    These are entries of replicas that left in an earlier era, and of processes in place
+    of which others, started later, are known.
+    """
 
     __slots__ = ("held_back_", "retired_")
 
@@ -49,35 +54,45 @@
         self.retired_.pop(name, None)
         self.held_back_.pop(name, None)
 
-    def hold_back(
-        self, entries: Iterable[ReplicaEntry], position: StorePosition, now: float
+    def select_usable(
+        self,
+        entries: Iterable[ReplicaEntry],
+        replaced: Mapping[str, ReplicaEntry],
+        era: int,
+        now: float,
     ) -> tuple[ReplicaEntry, ...]:
-        """Return the entries of a list that may be used; keep the others for later."""
+        """Return the entries of a complete list that may be used; hold back the others.
+
+        `replaced` are the known entries if the list is the first one of its era.
+        """
         before, self.held_back_ = self.held_back_, {}
         usable = []
         for entry in entries:
-            retired = self.retired_.get(entry.name)
-            if retired is None or not _was_written_before(entry, retired, position.era):
+            name = entry.name
+            kept, until = before.get(name, (None, now + HELD_BACK_S))
+            if entry == kept or self._is_from_copy(entry, replaced.get(name), era):
+                self.held_back_[name] = (entry, until)
+            else:
                 usable.append(entry)
-                continue
-            _, until = before.get(entry.name, (entry, now + HELD_BACK_S))
-            self.held_back_[entry.name] = (entry, until)
         return tuple(usable)
 
+    def _is_from_copy(
+        self, entry: ReplicaEntry, known: ReplicaEntry | None, era: int
+    ) -> bool:
+        """Tell whether an entry was written before its replica left or was replaced."""
+        if known is not None:
+            return is_earlier_process(entry, known)
+        retired = self.retired_.get(entry.name)
+        if retired is None or retired.era >= era:
+            return False
+        last = retired.entry
+        if is_same_process(last, entry):
+            return entry.sequence <= last.sequence
+        return is_earlier_process(entry, last)
+
     def take_due(self, now: float) -> list[ReplicaEntry]:
         """Remove and return the entries that are still listed after HELD_BACK_S."""
         due = [entry for entry, until in self.held_back_.values() if now >= until]
         for entry in due:
             self.forget(entry.name)
         return due
-
-
-def _was_written_before(entry: ReplicaEntry, retired: _Retired, era: int) -> bool:
-    """Tell whether an entry listed in an era was written before its replica left."""
-    last = retired.entry
-    is_same = (last.incarnation, last.address, last.service) == (
-        entry.incarnation,
-        entry.address,
-        entry.service,
-    )
-    return is_same and retired.era < era and entry.sequence <= last.sequence
