Await replicas that a peer's first list of an era lacks

Callers: after a return from a copy, hosts fed by a relay that had just been restarted dropped all replicas that the copy lacks, until these had written again.

Cause: hosts trusted that a relay keeps lapsed entries. One without memory knows only what the copy holds.

Change: the first list of an era makes what it lacks lapse, whoever read it, and later lists of relays leave that for the 2 s; a host without store of its own counts these from the list.

--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -77,16 +77,22 @@
         """Replace all entries; return the names whose connections must be closed.
 
         A list relayed by a peer comes from a store that the peer can reach, so no entry
-        is missing only because the store was unreachable.
+        is missing only because the store was unreachable. Any entry may be missing from
+        the copy from which the store has returned.
         """
         replaced = {}
+        may_lapse = False if is_relayed else None
         if self.position_ is not None and position.era > self.position_.era:
             self.store_regained_at_ = now
+            may_lapse = True
             replaced = {name: r.entry for name, r in self.replicas_.items()}
         usable = self.retired.select_usable(entries, replaced, position.era, now)
         names = {entry.name for entry in usable}
-        gone = [name for name in self.replicas_ if name not in names]
-        may_lapse = False if is_relayed else None
+        gone = [
+            name
+            for name, replica in self.replicas_.items()
+            if name not in names and not self._is_awaited(replica, now)
+        ]
         self.misdirected_.clear()
         return self._apply(usable, gone, position, now, may_lapse=may_lapse)
 
@@ -163,7 +169,7 @@
 
     def expire(self, now: float) -> list[str]:
         """Remove lapsed replicas that did not register again; return their names."""
-        if self.store_lost_at_ is not None:
+        if self._is_store_away:
             return []
         gone = [
             name
@@ -305,13 +311,24 @@
                 best, best_cost = replica, cost
         return best
 
-    def _may_have_lapsed(self, now: float) -> bool:
-        """Tell whether entries may be missing because the store was unreachable."""
-        if self.store_lost_at_ is not None:
-            return True
+    @property
+    def _is_store_away(self) -> bool:
+        """Tell whether it is away, and no list of a peer shows that it has returned."""
+        lost, regained = self.store_lost_at_, self.store_regained_at_
+        return lost is not None and (regained is None or regained < lost)
+
+    def _is_awaited(self, replica: LiveReplica, now: float) -> bool:
+        """Tell whether a lapsed replica still has time to register again."""
+        return replica.lapsed_at is not None and self._was_just_regained(now)
+
+    def _was_just_regained(self, now: float) -> bool:
         regained = self.store_regained_at_
         return regained is not None and now < regained + LAPSE_KEPT_S
 
+    def _may_have_lapsed(self, now: float) -> bool:
+        """Tell whether entries may be missing because the store was unreachable."""
+        return self.store_lost_at_ is not None or self._was_just_regained(now)
+
     def _rebuild_index(self) -> None:
         by_service: dict[str, list[LiveReplica]] = {}
         for replica in self.replicas_.values():
--- a/jackdawsill/forwarding/tests/test_registry.py
+++ b/jackdawsill/forwarding/tests/test_registry.py
@@ -361,6 +361,12 @@
         self.host.feed(Tick())
         self.assertNotIn("docs-near", self.table.replicas_)
 
+    def test_copy_lacks_a_replica_of_a_host_without_store(self):
+        """Guards against keeping it for ever while only relays reach the store."""
+        self.host.feed(StoreLost("test"))
+        self.host.now += 1.0
+        self.test_replica_that_the_first_list_of_a_peer_lacks()
+
     def test_replica_that_only_the_first_list_lacks(self):
         """Guards against holding back a replica that has written its entry again."""
         draining = entry("docs-near", "docs", draining=True)
