Drop an answer of the store's ended era once a peer has told of the next

A host that reads a late answer of the ended era, as after a freeze, went back to its position, told its subscribers that its state was current, and used again what had been removed since, until the next read.

Cause: only complete lists were checked for the era that is known when the answer is read; the answers to watches were checked against the one when it was asked.

--- a/jackdawsill/gateway/_follower.py
+++ b/jackdawsill/gateway/_follower.py
@@ -110,11 +110,7 @@
 
     async def _read_all(self) -> None:
         snapshot = await self.store.read()
-        known = self.known_position()
-        if known is not None and snapshot.position.era < known.era:
-            raise StoreUnavailable(
-                f"answer of era {snapshot.position.era}, which ended"
-            )
+        self._check_era(snapshot.position)
         self._on_answer()
         self.needs_full_read_ = False
         # First, so that what a relay sends on is not stated to be old.
@@ -133,6 +129,7 @@
         wait_s -= self._last_pause_s
         self._last_pause_s = 0.0
         changes = await self.store.watch(base, wait_s)
+        self._check_era(changes.position)
         self._on_answer()
         # Confirm the old position after an empty result. A store that delays changes
         # may state a newer revision, and a watch from there would skip them.
@@ -150,6 +147,12 @@
         self._last_pause_s = BATCHING_PAUSE_S
         await self._pause(BATCHING_PAUSE_S)
 
+    def _check_era(self, position: StorePosition) -> None:
+        """Raise StoreUnavailable if a peer has told of a later era meanwhile."""
+        known = self.known_position()
+        if known is not None and position.era < known.era:
+            raise StoreUnavailable(f"answer of era {position.era}, which ended")
+
     def _on_answer(self) -> None:
         self.confirmed_at_ = self.clock()
         if self.n_failures_ >= N_FAILURES_UNREACHABLE:
--- a/jackdawsill/gateway/tests/test_follower.py
+++ b/jackdawsill/gateway/tests/test_follower.py
@@ -20,6 +20,7 @@
     StoreChanges,
     StoreFollower,
     StoreSnapshot,
+    StoreUnavailable,
     build_gateway_state,
     load_gateway_settings,
 )
@@ -126,7 +127,8 @@
         self.feed(ReplicasListed((entry("r1"),), after_return, PEER))
         confirmed_at = self.state.component(UpdateFeed).confirmed_at_
         answer.set()
-        await task
+        with self.assertRaises(StoreUnavailable):
+            await task
         registry = self.state.component(ReplicaRegistry)
         self.assertEqual(registry.position_, after_return)
         self.assertEqual(list(registry.replicas_), ["r1"])
