Relay entries that were held back once they are used

Callers: a live replica of the copy whose removal had been written in the lost span was used 8 s after the return by the hosts that read the store, and 8 s later by all others.

Cause: an entry that is released has no new position, so subscribers dropped it as known, asked for a list since the digests differed, and held it back anew.

--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -187,6 +187,10 @@
         """Return the position of the known entries, or one before all others."""
         return self.position_ or STORE_START
 
+    def is_listed(self, name: str) -> bool:
+        """Tell whether an entry is known, even if its replica has been found to end."""
+        return name in self.replicas_ or name in self.misdirected_
+
     def advance(self, position: StorePosition) -> None:
         """Take over a position up to which nothing else has changed.
 
--- a/jackdawsill/relaying/_updates.py
+++ b/jackdawsill/relaying/_updates.py
@@ -177,7 +177,11 @@
         and position.era == known.era
         and any(name in registry.replicas_ for name in message.removed)
     )
-    if position > known or is_expired:
+    # Entries that a host has held back have no new revision either when it uses them.
+    is_released = position == known and not all(
+        registry.is_listed(entry.name) for entry in message.written
+    )
+    if position > known or is_expired or is_released:
         change = ReplicasChanged(
             message.written,
             message.removed,
