--- a/jackdawsill/forwarding/_events.py
+++ b/jackdawsill/forwarding/_events.py
@@ -53,11 +53,16 @@
 
 
 class ReplicasListed(Event):
-    """The complete list of replicas was read from `source` at `position`."""
+    """The complete list of replicas was read from `source` at `position`.
+
+    `lapsed` are the names of those that the store lacks, and that a peer still keeps
+    since they may register again.
+    """
 
     entries: tuple[ReplicaEntry, ...]
     position: StorePosition
     source: str
+    lapsed: tuple[str, ...] = ()
 
 
 class ReplicasChanged(Event):
--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -73,12 +73,14 @@
         now: float,
         *,
         is_relayed: bool = False,
+        lapsed: Iterable[str] = (),
     ) -> list[str]:
         """Replace all entries; return the names whose connections must be closed.
 
         A list relayed by a peer comes from a store that the peer can reach, so no entry
         is missing only because the store was unreachable. Any entry may be missing from
-        the copy from which the store has returned.
+        the copy from which the store has returned. The peer counts `lapsed` entries
+        among its own, although the store lacks them.
         """
         replaced = {}
         may_lapse = False if is_relayed else None
@@ -94,7 +96,16 @@
             if name not in names and not self._is_awaited(replica, now)
         ]
         self.misdirected_.clear()
-        return self._apply(usable, gone, position, now, may_lapse=may_lapse)
+        lapsed_at = {
+            name: replica.lapsed_at
+            for name, replica in self.replicas_.items()
+            if replica.lapsed_at is not None
+        }
+        dropped = self._apply(usable, gone, position, now, may_lapse=may_lapse)
+        for name in lapsed:
+            if name in self.replicas_:
+                self.replicas_[name].lapsed_at = lapsed_at.get(name, now)
+        return dropped
 
     def apply_changes(
         self,
@@ -187,6 +198,15 @@
         """Return the position of the known entries, or one before all others."""
         return self.position_ or STORE_START
 
+    @property
+    def lapsed_names(self) -> tuple[str, ...]:
+        """Return the names of replicas that are kept although the store lacks them."""
+        return tuple(
+            name
+            for name, replica in self.replicas_.items()
+            if replica.lapsed_at is not None
+        )
+
     def is_listed(self, name: str) -> bool:
         """Tell whether an entry is known, even if its replica has been found to end."""
         return name in self.replicas_ or name in self.misdirected_
--- a/jackdawsill/forwarding/_store_handlers.py
+++ b/jackdawsill/forwarding/_store_handlers.py
@@ -54,7 +54,11 @@
     n_before = len(registry.replicas_)
     before = registry.position_
     dropped = registry.replace_all(
-        event.entries, event.position, now, is_relayed=event.source == PEER
+        event.entries,
+        event.position,
+        now,
+        is_relayed=event.source == PEER,
+        lapsed=event.lapsed,
     )
     fields = {
         "revision": event.position.revision,
--- a/jackdawsill/relaying/_messages.py
+++ b/jackdawsill/relaying/_messages.py
@@ -35,12 +35,17 @@
 
 @register_message("NewsSnapshot")
 class NewsSnapshot(PositionedMessage):
-    """All routes and replicas of the sender, which were current `age_s` seconds ago."""
+    """All routes and replicas of the sender, which were current `age_s` seconds ago.
+
+    `lapsed` are the names of replicas that the store lacks, and that the sender keeps
+    for a while since they may register again.
+    """
 
     routes: PackedRoutes | None
     entries: tuple[ReplicaEntry, ...]
     revision: int
     age_s: float
+    lapsed: tuple[str, ...] = ()
 
 
 @register_message("NewsChange")
--- a/jackdawsill/relaying/_updates.py
+++ b/jackdawsill/relaying/_updates.py
@@ -102,7 +102,7 @@
     position = message.position
     is_newer = message.revision > 0 and (known is None or position > known)
     if is_newer or (was_requested and position == known):
-        listed = ReplicasListed(message.entries, position, PEER)
+        listed = ReplicasListed(message.entries, position, PEER, message.lapsed)
         effects.append(EmitEvent(listed))
     elif known is not None and position < known:
         effects.append(_log_dropped(link_id, position, known))
@@ -278,4 +278,11 @@
     age_s = min(feed.age_s(now), UNKNOWN_AGE_S)
     routes = feed.pack_all(state.component(RouteCatalog).routes_)
     position = registry.known_position
-    return NewsSnapshot(routes, entries, position.revision, age_s, era=position.era)
+    return NewsSnapshot(
+        routes,
+        entries,
+        position.revision,
+        age_s,
+        registry.lapsed_names,
+        era=position.era,
+    )
--- a/jackdawsill/relaying/tests/test_stale.py
+++ b/jackdawsill/relaying/tests/test_stale.py
@@ -161,3 +161,27 @@
         snapshot = NewsSnapshot(None, entries, revision, 0.1, era=1)
         host.handle(PeerMessageRead(link_id, snapshot))
         self.assertEqual(sorted(registry.replicas_), ["r1", "r9"])
+
+
+class TestLapsedInSnapshot(unittest.TestCase):
+    """Replicas that lapsed at a relay before a host got its snapshot."""
+
+    def test_relays_stop_before_the_entry_expires(self):
+        """Guards against a replica kept for ever by a host without its relay."""
+        fleet = Fleet(6)
+        fleet.store.write("r2")
+        fleet.run(6.0)
+        for host in fleet.hosts.values():
+            host.reaches_store = False
+        fleet.run(0.5)
+        fleet.store.remove("r2")
+        for host in fleet.hosts.values():
+            host.reaches_store = True
+        fleet.run(0.2)
+        fleet.restart("h5")
+        fleet.run(0.3)
+        self.assertEqual(fleet.hosts["h5"].known, (1, ["r1", "r2"]))
+        for seed in fleet.seeds:
+            fleet.stop(seed)
+        fleet.run(6.0)
+        self.assertEqual(fleet.outdated_hosts(), [])
