Forget held back replicas that the store lacks

Callers: attempts went to a replica that had ended, 8 s after a return from a copy.

Cause: a host holds back an entry of the copy while a relay without memory keeps it as lapsed; the relay's removal has no new position, and only replicas in use were looked for.

Change: such removals also end holding back, and an entry that a peer calls lapsed is not held back at all. test_expiry_of_a_replica_that_is_held_back and test_lapsed_replica_in_the_list_of_a_peer failed before.

--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -73,7 +73,7 @@
         now: float,
         *,
         is_relayed: bool = False,
-        lapsed: Iterable[str] = (),
+        lapsed: Collection[str] = (),
     ) -> list[str]:
         """Replace all entries; return the names whose connections must be closed.
 
@@ -88,7 +88,9 @@
             self.store_regained_at_ = now
             may_lapse = True
             replaced = {name: r.entry for name, r in self.replicas_.items()}
-        usable = self.retired.select_usable(entries, replaced, position.era, now)
+        usable = self.retired.select_usable(
+            entries, replaced, lapsed, position.era, now
+        )
         names = {entry.name for entry in usable}
         gone = [
             name
--- a/jackdawsill/forwarding/_retired.py
+++ b/jackdawsill/forwarding/_retired.py
@@ -1,6 +1,6 @@
 """Replicas that have left, which a copy of the store may still list."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
 
@@ -58,12 +58,14 @@
         self,
         entries: Iterable[ReplicaEntry],
         replaced: Mapping[str, ReplicaEntry],
+        lapsed: Collection[str],
         era: int,
         now: float,
     ) -> tuple[ReplicaEntry, ...]:
         """Return the entries of a complete list that may be used; hold back the others.
 
         `replaced` are the known entries if the list is the first one of its era.
+        `lapsed` entries are not held back, as the store no longer has them.
         """
         before, self.held_back_ = self.held_back_, {}
         usable = []
@@ -71,7 +73,8 @@
             name = entry.name
             kept, until = before.get(name, (None, now + HELD_BACK_S))
             if entry == kept or self._is_from_copy(entry, replaced.get(name), era):
-                self.held_back_[name] = (entry, until)
+                if name not in lapsed:
+                    self.held_back_[name] = (entry, until)
             else:
                 usable.append(entry)
         return tuple(usable)
--- a/jackdawsill/forwarding/tests/test_registry.py
+++ b/jackdawsill/forwarding/tests/test_registry.py
@@ -283,6 +283,16 @@
         self.list_entries("docs-near", "docs-far", revision=7)
         self.assertIn("docs-near", self.table.replicas_)
 
+    def test_lapsed_replica_in_the_list_of_a_peer(self):
+        """Guards against using a removed replica because it was held back."""
+        self.remove("docs-near", 60)
+        listed = (entry("docs-near", "docs"), entry("docs-far", "docs"))
+        at = position_at(5, era=2)
+        self.host.feed(ReplicasListed(listed, at, "peer", ("docs-near",)))
+        self.host.now += 2 * HELD_BACK_S
+        self.host.feed(Tick())
+        self.assertNotIn("docs-near", self.table.replicas_)
+
     def test_expired_replica_that_a_later_copy_lists(self):
         """Guards against holding back a replica that no entry said had left."""
         for source in ("own", "peer"):
--- a/jackdawsill/relaying/_updates.py
+++ b/jackdawsill/relaying/_updates.py
@@ -170,12 +170,15 @@
         return effects
     position = message.position
     # Removals of expired entries have no new revision; they are new if an entry is
-    # still present. Entries that may have lapsed stay present for a while, so
-    # relays would send their removal to each other without end.
+    # still present or held back. Entries that may have lapsed stay present for a
+    # while, so relays would send their removal to each other without end.
     is_expired = (
         not message.may_lapse
         and position.era == known.era
-        and any(name in registry.replicas_ for name in message.removed)
+        and any(
+            name in registry.replicas_ or name in registry.retired.held_back_
+            for name in message.removed
+        )
     )
     # Entries that a host has held back have no new revision either when it uses them.
     is_released = position == known and not all(
--- a/jackdawsill/relaying/tests/test_restored.py
+++ b/jackdawsill/relaying/tests/test_restored.py
@@ -120,6 +120,14 @@
         self.assertEqual(list(self.registry.replicas_), ["r1", "r9"])
         self.assertEqual(self.host.feed.confirmed_at_, confirmed_at)
 
+    def test_expiry_of_a_replica_that_is_held_back(self):
+        """Guards against using a replica that its relay has removed meanwhile."""
+        self.receive(NewsChange(None, (), ("r1",), 1, 9, 0.0, False, era=1))
+        self.receive(NewsSnapshot(None, (entry("r1"),), 3, 0.0, era=2))
+        self.assertIn("r1", self.registry.retired.held_back_)
+        self.receive(NewsChange(None, (), ("r1",), 3, 3, 0.0, False, era=2))
+        self.assertEqual(self.registry.retired.held_back_, {})
+
     def test_change_of_a_later_era(self):
         """Guards against a change that is applied without what the era began with."""
         sent = []
