Refuse calls late in a stop that could not be answered before the exit

Callers: a request that came late in the grace period, over a connection that was still open or new, was passed on to a replica, and its connection ended without a reply when the process did; requests that must not be repeated among them.

Cause: a gateway that drains waits for the calls in progress, and its listener is open meanwhile. Calls that arrive then were admitted with their own deadline, and all that were left at 0.9 of the grace period were dropped.

Change: once the load balancer has had time to notice the stop, a call begins only if its objective is before the exit, one that must not be repeated only if three objectives or all of its time are. Others are refused at once as not run, with Retry-After 0, as other hosts can serve them. What begins has its deadline before the exit, and what is in progress at the exit gets a final reply: the outcome is unknown, or not run if nothing was sent.

--- a/jackdawsill/forwarding/_admit.py
+++ b/jackdawsill/forwarding/_admit.py
@@ -13,10 +13,13 @@
 from jackdawsill.forwarding._dispatch import call_timer, send_first
 from jackdawsill.forwarding._effects import RefuseCall
 from jackdawsill.forwarding._events import CallArrived
+from jackdawsill.forwarding._lifecycle import GatewayLifecycle
 from jackdawsill.forwarding._model import ForwardRequest, ForwardRoute
 from jackdawsill.forwarding._policy import (
     DEADLINE_MARGIN_S,
+    RETRY_AFTER_STOPPING_S,
     RETRY_AFTER_UNKNOWN_S,
+    UNREPEATABLE_OBJECTIVES,
     ForwardingPolicy,
 )
 from jackdawsill.forwarding._registry import ReplicaRegistry
@@ -39,6 +42,9 @@
         error = errors.NoSuchRoute("no route matches the host name and path")
         return _refuse_unrouted(event, error, catalog.version)
     call = _new_call(state, event.call_id, req, route, now)
+    stopping = _limit_by_stop(state, call)
+    if stopping is not None:
+        return refuse(state, call, now, stopping)
     if state.component(CrashEvidence).is_condemned(call.fingerprint, now):
         error = errors.Condemned("the request crashed the replicas that ran it")
         return refuse(state, call, now, error)
@@ -104,6 +110,29 @@
     return call
 
 
+def _limit_by_stop(state: HostState, call: Call) -> JackdawsillError | None:
+    """End a call before this host exits; return the error if it should not begin.
+
+    A call begins only if its objective is before the exit. One that must not be
+    repeated needs more time, as its outcome would be unknown.
+    """
+    grace_s = state.component(ForwardingPolicy).grace_s
+    last_reply_at = state.component(GatewayLifecycle).last_reply_at(grace_s)
+    if last_reply_at is None:
+        return None
+    needed_until = call.objective_at
+    if not call.route.idempotent:
+        longest_s = UNREPEATABLE_OBJECTIVES * call.route.objective_s
+        needed_until = min(call.deadline_at, call.arrived_at + longest_s)
+    if needed_until > last_reply_at:
+        return errors.HostStopping(
+            "the host stops before the call could be answered",
+            retry_after_ms=int(1000 * RETRY_AFTER_STOPPING_S),
+        )
+    call.deadline_at = min(call.deadline_at, last_reply_at)
+    return None
+
+
 def _check_servable(
     state: HostState, call: Call, now: float
 ) -> JackdawsillError | None:
--- a/jackdawsill/forwarding/_errors.py
+++ b/jackdawsill/forwarding/_errors.py
@@ -23,6 +23,11 @@
     """Limits of replicas leave this host no attempt for the call; it was not run."""
 
 
+@register_error(2510, status=503)
+class HostStopping(JackdawsillError):
+    """The host stops before it could answer the call; it was not run."""
+
+
 @register_error(2504, status=502, outcome=Outcome.OUTCOME_UNKNOWN)
 class AttemptsFailed(JackdawsillError):
     """Replicas that may have run the call gave no usable answer."""
--- a/jackdawsill/forwarding/_lifecycle.py
+++ b/jackdawsill/forwarding/_lifecycle.py
@@ -12,18 +12,23 @@
     Tick,
     handles,
 )
+from jackdawsill.forwarding import _errors as errors
 from jackdawsill.forwarding import _log_events as log_events
 from jackdawsill.forwarding._calls import CallTable
 from jackdawsill.forwarding._catalog import RouteCatalog
 from jackdawsill.forwarding._effects import CloseCallerConnections
 from jackdawsill.forwarding._policy import ForwardingPolicy
 from jackdawsill.forwarding._registry import ReplicaRegistry
+from jackdawsill.forwarding._replies import refuse
 
 # Fraction of the grace period during which new connections are still accepted. The load
 # balancer checks readiness each second and stops sending after two failed checks.
 LAMEDUCK_FRACTION = 0.42
 # Fraction of the grace period after which the process exits despite calls in progress.
 EXIT_FRACTION = 0.9
+# Calls that arrive in `DRAINING` get their final reply this long before the exit, so
+# that it can be sent and read.
+FINAL_REPLY_MARGIN_S = 0.1
 
 
 class GatewayPhase(StrEnum):
@@ -53,6 +58,15 @@
         """Return the time at which the process exits despite calls in progress."""
         return self.stop_requested_at_ + EXIT_FRACTION * grace_s
 
+    def last_reply_at(self, grace_s: float) -> float | None:
+        """Return by when arriving calls must be replied to, or None for no limit.
+
+        Calls are limited once the load balancer has had the time to notice the stop.
+        """
+        if self.phase_ not in (GatewayPhase.DRAINING, GatewayPhase.ENDED):
+            return None
+        return self.exit_at(grace_s) - FINAL_REPLY_MARGIN_S
+
     def enter(self, phase: GatewayPhase) -> LogEvent:
         """Change the phase and return the log event."""
         fields = {"before": str(self.phase_), "after": str(phase)}
@@ -103,5 +117,19 @@
         )
         if has_calls and now < life.exit_at(grace_s):
             return [CloseCallerConnections(idle_now=True)]
-        return [life.enter(GatewayPhase.ENDED), Exit()]
+        return [
+            *_refuse_unfinished(state, now),
+            life.enter(GatewayPhase.ENDED),
+            Exit(),
+        ]
     return []
+
+
+def _refuse_unfinished(state: HostState, now: float) -> list[Effect]:
+    """Reply to the calls that are still in progress when the process exits."""
+    effects: list[Effect] = []
+    for call in list(state.component(CallTable).calls_.values()):
+        if not call.is_ended:
+            error = errors.HostStopping("the host stops before the call was answered")
+            effects += refuse(state, call, now, error)
+    return effects
--- a/jackdawsill/forwarding/_policy.py
+++ b/jackdawsill/forwarding/_policy.py
@@ -40,3 +40,8 @@
 # When a caller is told to retry if routes or replicas are unknown. They have probably
 # been read by then.
 RETRY_AFTER_UNKNOWN_S = 0.4
+# When a caller is told to retry if the host stops. Other hosts can serve it at once.
+RETRY_AFTER_STOPPING_S = 0.0
+# A call that must not be repeated begins on a host that stops only if this many times
+# its objective are left, or all of its time.
+UNREPEATABLE_OBJECTIVES = 3.0
