Ignore the expiry of replicas by a host that is behind

Callers: after a return from a copy all hosts dropped live replicas, until these next wrote a change, because one host had missed that they had written again.

Cause: the expiry of a lapsed entry has no new position, so hosts took such a removal at any position, also from a host that did not know the later writes.

Change: it is taken at the receiver's own position only; a receiver that is ahead has its own mark for what has lapsed. test_replica_that_has_registered_again failed before with ['r1'] != ['r1', 'r2'].

--- a/jackdawsill/relaying/_updates.py
+++ b/jackdawsill/relaying/_updates.py
@@ -171,10 +171,11 @@
     position = message.position
     # Removals of expired entries have no new revision; they are new if an entry is
     # still present or held back. Entries that may have lapsed stay present for a
-    # while, so relays would send their removal to each other without end.
+    # while, so relays would send their removal to each other without end. A sender that
+    # is behind may have missed that they were written again.
     is_expired = (
         not message.may_lapse
-        and position.era == known.era
+        and position == known
         and any(
             name in registry.replicas_ or name in registry.retired.held_back_
             for name in message.removed
--- a/jackdawsill/relaying/tests/test_stale.py
+++ b/jackdawsill/relaying/tests/test_stale.py
@@ -12,7 +12,12 @@
     StoreRegained,
 )
 from jackdawsill.relaying._feed import STALE_START_WAIT_S
-from jackdawsill.relaying._messages import NewsBeat, NewsSnapshot, NewsWanted
+from jackdawsill.relaying._messages import (
+    NewsBeat,
+    NewsChange,
+    NewsSnapshot,
+    NewsWanted,
+)
 from jackdawsill.relaying.tests._fleet import Fleet, entry
 
 # Size of the largest configuration that the platform's store holds.
@@ -163,6 +168,22 @@
         self.assertEqual(sorted(registry.replicas_), ["r1", "r9"])
 
 
+class TestLateExpiry(unittest.TestCase):
+    """A host that has missed an update decides that a lapsed replica is gone."""
+
+    def test_replica_that_has_registered_again(self):
+        """Guards against the removal of live replicas on all hosts by one of them."""
+        fleet = Fleet(6)
+        fleet.run(6.0)
+        fleet.store.write("r2")
+        fleet.run(1.0)
+        host = fleet.hosts["h5"]
+        missed = host.state.component(ReplicaRegistry).position_.revision - 1
+        expiry = NewsChange(None, (), ("r2",), missed, missed, 0.0, False, era=1)
+        host.handle(PeerMessageRead(host.feed.relay_link_id_, expiry))
+        self.assertEqual(host.known, (1, ["r1", "r2"]))
+
+
 class TestLapsedInSnapshot(unittest.TestCase):
     """Replicas that lapsed at a relay before a host got its snapshot."""
 
