Check responses that end within their head

Another operator reported that a replica which closed within the head of its answer led to a success with an empty or short body.

--- a/jackdawsill/http1/tests/test_connection.py
+++ b/jackdawsill/http1/tests/test_connection.py
@@ -321,6 +321,31 @@
         self.assertIsInstance(end, AttemptFailed)
         self.assertIn(end.kind, (FailureKind.CRASH, FailureKind.BAD_ANSWER))
 
+    def test_head_that_is_cut_anywhere(self):
+        """Guards against a success whose head the replica never finished."""
+        first = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+        for framing in (b"Content-Length: 4", b"Transfer-Encoding: chunked", b"X: y"):
+            head = b"HTTP/1.1 200 OK\r\nId: 2\r\n" + framing + b"\r\n\r\n"
+            for before, number in (b"", 2), (first, 1), (INTERIM_RESPONSE, 2):
+                for n_received in range(len(head)):
+                    with self.subTest(head=before + head[:n_received]):
+                        end = asyncio.run(self.cut(before, number, head[:n_received]))
+                        self.assertIsInstance(end, AttemptFailed)
+
+    async def cut(self, before: bytes, number: int, head: bytes) -> object:
+        """Return how an attempt ends whose response begins with `head` and no more."""
+        pool = _FakePool()
+        pool.send(number)
+        pool.feed(before)
+        await asyncio.sleep(0)
+        if pool.ends:
+            pool.send(2)
+        pool.feed(head)
+        pool.conn.eof_received()
+        pool.conn.connection_lost(None)
+        await asyncio.sleep(0)
+        return pool.ends[-1]
+
     @SEARCH_SETTINGS
     @given(data=st.binary(max_size=300), cut_points=cut_point_lists)
     def test_arbitrary_bytes(self, data, cut_points):
