Reply to operators also when a part of the status fails

Operators: a request for /status or /metrics was left without a reply when a section raised, so the one who asked waited for the timeout, and the log said nothing.

Cause: the exception left the parser's callback, where nothing replies.

Change: the host replies with status 500 and logs operator_request_failed with the target and the error. test_section_that_fails failed before with TimeoutError.

--- a/jackdawsill/gateway/_log_events.py
+++ b/jackdawsill/gateway/_log_events.py
@@ -65,3 +65,10 @@
     "each problem.",
     logbook.ERROR,
 )
+OPERATOR_REQUEST_FAILED = register_log_event(
+    5310,
+    "operator_request_failed",
+    "request of an operator for {target} failed: {detail}",
+    "The host could not render its status or metrics; it replied with status 500.",
+    logbook.ERROR,
+)
--- a/jackdawsill/gateway/_operator.py
+++ b/jackdawsill/gateway/_operator.py
@@ -21,17 +21,20 @@
     """Two servers: health check for the load balancer; metrics and status.
 
     The health check has status 200 while the host is ready, else 503.
-    `process_status` returns the sections of the status about the process.
+    `process_status` returns the sections of the status about the process. `on_failure`
+    gets the target of a request that could not be handled, and the error.
     """
 
     def __init__(
         self,
         state: HostState,
         process_status: Callable[[], dict[str, Any]],
+        on_failure: Callable[[str, Exception], None],
         clock: Callable[[], float],
     ) -> None:
         self.state = state
         self.process_status = process_status
+        self.on_failure = on_failure
         self.clock = clock
         self.ready_ = False
         self.instruments_: Any = None
@@ -98,6 +101,14 @@
         return status(self.state, self.clock()) | self.process_status()
 
     def _on_status_request(self, call_id: int, raw: RawRequest) -> None:
+        try:
+            self._reply_status(call_id, raw)
+        except Exception as exc:
+            # Any part of the host may have a section; the others are not affected.
+            self.on_failure(raw.target.decode("latin-1"), exc)
+            self.status_server.reply(call_id, 500)
+
+    def _reply_status(self, call_id: int, raw: RawRequest) -> None:
         path = raw.target.partition(b"?")[0]
         if path == b"/metrics":
             # Imported here for the same reason as the instruments.
--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -120,7 +120,9 @@
         self._exit_task: asyncio.Task | None = None  # keeps it from being collected
         # Returns the status section "settings"; set by whoever reloads the settings.
         self.settings_status: Callable[[], dict[str, object]] = dict
-        self.operator_servers = OperatorServers(self.state, self._status, boot_clock)
+        self.operator_servers = OperatorServers(
+            self.state, self._status, self._on_operator_failure, boot_clock
+        )
         self.links = LinkSet(self.driver)
         registry = self.state.component(ReplicaRegistry)
         self.store_follower = StoreFollower(
@@ -321,6 +323,13 @@
             await asyncio.sleep(CLOSING_CHECK_INTERVAL_S)
         self.stop()
 
+    def _on_operator_failure(self, target: str, exc: Exception) -> None:
+        self.driver.log(
+            log_events.OPERATOR_REQUEST_FAILED,
+            target=target[:100],
+            detail=repr(exc)[:200],
+        )
+
     def _status(self) -> dict[str, object]:
         """Return the status sections "process" and "settings"."""
         process = {
