--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
     further/dvorak-sit.toml further-grown/dvorak-sit-grown.toml \
     large/eandinos-large.toml
 
-.PHONY: setup test demo matrix bench slopes soak platform-run regress format catalogue
+.PHONY: setup test demo matrix bench slopes soak search platform-run regress format catalogue
 
 $(STAMP): requirements/lock.txt pyproject.toml
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -39,6 +39,9 @@
 soak: $(STAMP)
 	cd platform && ../$(PY) -m jackdawsill_platform.soak $(SOAK_ARGS)
 
+search: $(STAMP)
+	$(PY) -m tools.long_search $(SEARCH_ARGS)
+
 platform-run:
 	$(BENCH) run $(SITE) $(DAY) --why "$(WHY)"
 
