Divide the limits that replicas state by the demand of the hosts

Cause: each host took an equal share of a limit, whatever its load. A fleet whose load is on few hosts used little of it and refused calls that the replica would have taken, and a delegate could not use the shares of the hosts that delegate to it.

Change: hosts report how many attempts they want to send to services with limited replicas, relays add the reports up, and three quarters of a limit are divided by them. A host uses the smallest report of the last 2 s, so that a share grows only after the others have shrunk theirs. Without a total of the last 1.5 s, and for hosts that do not report (older builds ignore the messages), shares are equal as before, and the sum stays the same. Nothing is sent while no replica states a limit.

--- a/jackdawsill/forwarding/__init__.py
+++ b/jackdawsill/forwarding/__init__.py
@@ -48,6 +48,7 @@
 )
 from jackdawsill.forwarding._fleet import FleetSize
 from jackdawsill.forwarding._lifecycle import GatewayLifecycle, GatewayPhase
+from jackdawsill.forwarding._limit_shares import Demand, LimitShares, add_demands
 from jackdawsill.forwarding._model import (
     STORE_START,
     CallerLimits,
@@ -86,6 +87,7 @@
     "CrashEvidence",
     "DelegateHost",
     "DelegateTable",
+    "Demand",
     "DropIdleConnections",
     "DropReplicaConnections",
     "FleetSize",
@@ -95,6 +97,7 @@
     "GatewayLifecycle",
     "GatewayPhase",
     "Headers",
+    "LimitShares",
     "LiveReplica",
     "MergedAnswer",
     "PassAnswer",
@@ -119,5 +122,6 @@
     "StoreRegained",
     "WarmReplicas",
     "WeightedService",
+    "add_demands",
     "greatest_records",
 ]
--- a/jackdawsill/forwarding/_admit.py
+++ b/jackdawsill/forwarding/_admit.py
@@ -50,6 +50,7 @@
         return refuse(state, call, now, error)
     refusal = _check_servable(state, call, now)
     if refusal is not None:
+        _record_demand(state, call, now)
         return refuse(state, call, now, refusal)
     state.component(CallTable).calls_[call.call_id] = call
     if not event.is_delegated:
@@ -65,6 +66,7 @@
 def run_locally(state: HostState, call: Call, now: float) -> list[Effect]:
     """Send the first attempts of a call to replicas, without a delegate."""
     effects: list[Effect] = []
+    _record_demand(state, call, now)
     _skip_ejected_parts(state, call, now)
     for part in call.parts:
         if not part.failed:
@@ -158,6 +160,14 @@
     )
 
 
+def _record_demand(state: HostState, call: Call, now: float) -> None:
+    """Count the parts of a call that this host would send, by service."""
+    shares = state.component(ReplicaRegistry).limit_shares
+    if shares.counters_:
+        for part in call.parts:
+            shares.record(part.service, now)
+
+
 def _skip_ejected_parts(state: HostState, call: Call, now: float) -> None:
     """Mark parts whose replicas are all ejected as failed, if enough parts remain.
 
--- a/jackdawsill/forwarding/_attempt_handlers.py
+++ b/jackdawsill/forwarding/_attempt_handlers.py
@@ -29,7 +29,6 @@
     CrashConfirmed,
     ReplicaRefused,
 )
-from jackdawsill.forwarding._fleet import FleetSize
 from jackdawsill.forwarding._model import ReplicaAnswer
 from jackdawsill.forwarding._rate_share import update_share
 from jackdawsill.forwarding._registry import ReplicaRegistry
@@ -122,7 +121,8 @@
     replica = attempt.replica
     before = replica.rate_share
     limit_before = None if before is None else before.limit_per_s
-    n_hosts = state.component(FleetSize).divisor(now)
+    shares = state.component(ReplicaRegistry).limit_shares
+    n_hosts = shares.divisor(replica.entry.service, now)
     replica.rate_share = update_share(
         before, limit_per_s, attempt.sent_at, n_hosts, now, state.rng
     )
--- a/jackdawsill/forwarding/_rate_share.py
+++ b/jackdawsill/forwarding/_rate_share.py
@@ -1,10 +1,9 @@
 """This host's share of the request rate that a replica takes from all hosts.
 
 It answers the load of a replica in need, which states a limit for the whole fleet.
-Each host takes an equal share, whatever its own load, so that the sum stays within
-the limit without messages between hosts, also after restarts and while some are cut
-off. Time slots at random phases carry the share: unlike a bucket that fills up, they do
-not let all hosts send at once after an idle time.
+`LimitShares` tells how large the share of this host is. Time slots at random phases
+carry it: unlike a bucket that fills up, they do not let all hosts send at once after an
+idle time.
 """
 
 import math
@@ -27,7 +26,7 @@
     next_slot_at: float
 
     def period_s(self, n_hosts: float) -> float:
-        """Return the time between two slots of one of `n_hosts` hosts."""
+        """Return the time between two slots of a host with one of `n_hosts` shares."""
         return n_hosts / max(self.limit_per_s, LIMIT_MIN_PER_S)
 
     def available_at(self, n_hosts: float, now: float) -> float:
--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -7,6 +7,7 @@
 
 from jackdawsill.forwarding._entry_order import is_older, is_same_process
 from jackdawsill.forwarding._fleet import FleetSize
+from jackdawsill.forwarding._limit_shares import LimitShares
 from jackdawsill.forwarding._model import STORE_START, ReplicaEntry, StorePosition
 from jackdawsill.forwarding._replica import LiveReplica
 from jackdawsill.forwarding._retired import RetiredReplicas
@@ -28,7 +29,7 @@
         "by_service_",
         "changed_at_",
         "failure_domain",
-        "fleet",
+        "limit_shares",
         "may_lapse_",
         "misdirected_",
         "older_",
@@ -45,10 +46,10 @@
         self,
         failure_domain: str,
         regions: dict[str, str],
-        fleet: FleetSize | None = None,
+        limit_shares: LimitShares | None = None,
     ) -> None:
         self.failure_domain = failure_domain
-        self.fleet = fleet or FleetSize()
+        self.limit_shares = limit_shares or LimitShares(FleetSize())
         self.regions = regions
         self.replicas_: dict[str, LiveReplica] = {}
         self.by_service_: dict[str, list[LiveReplica]] = {}
@@ -301,12 +302,22 @@
     def take_slot(self, replica: LiveReplica, now: float) -> None:
         """Count an attempt that is sent now against the replica's limit."""
         if replica.rate_share is not None:
-            replica.rate_share.take(self.fleet.divisor(now), now)
+            divisor = self.limit_shares.divisor(replica.entry.service, now)
+            replica.rate_share.take(divisor, now)
 
     def _replica_available_at(self, replica: LiveReplica, now: float) -> float:
         if replica.rate_share is None:
             return now
-        return replica.rate_share.available_at(self.fleet.divisor(now), now)
+        divisor = self.limit_shares.divisor(replica.entry.service, now)
+        return replica.rate_share.available_at(divisor, now)
+
+    def limited_services(self) -> set[str]:
+        """Return the services of replicas that state a limit."""
+        return {
+            replica.entry.service
+            for replica in self.replicas_.values()
+            if replica.rate_share is not None
+        }
 
     def pick(
         self,
--- a/jackdawsill/forwarding/tests/test_limits.py
+++ b/jackdawsill/forwarding/tests/test_limits.py
@@ -156,7 +156,9 @@
         for seed in range(self.N_HOSTS):
             host = GatewayModel(route)
             host.state.rng = random.Random(seed)
-            host.state.component(ReplicaRegistry).fleet = self.counted_fleet(host.now)
+            host.state.component(
+                ReplicaRegistry
+            ).limit_shares.fleet = self.counted_fleet(host.now)
             hosts.append(host)
         arrivals = {}
         start = hosts[0].now
--- a/jackdawsill/gateway/_build.py
+++ b/jackdawsill/gateway/_build.py
@@ -12,12 +12,13 @@
     FleetSize,
     ForwardingPolicy,
     GatewayLifecycle,
+    LimitShares,
     ReplicaRegistry,
     RetryBudget,
     RouteCatalog,
 )
 from jackdawsill.gateway._settings import GatewaySettings
-from jackdawsill.relaying import UpdateFeed
+from jackdawsill.relaying import DemandFeed, UpdateFeed
 from jackdawsill.runtime import join_address, split_address
 
 
@@ -49,7 +50,8 @@
     state.attach(RouteCatalog())
     fleet = FleetSize()
     state.attach(fleet)
-    state.attach(ReplicaRegistry(host.failure_domain, cfg.regions, fleet))
+    shares = LimitShares(fleet)
+    state.attach(ReplicaRegistry(host.failure_domain, cfg.regions, shares))
     state.attach(RetryBudget(retries.ratio, retries.slack, retries.window_s, fleet))
     state.attach(CrashEvidence())
     state.attach(CallTable())
@@ -58,6 +60,7 @@
     address = delegation_address(cfg)
     offer = DelegateHost(host.name, address, host.failure_domain) if address else None
     state.attach(DelegateTable(host.link_mbps, offer))
+    state.attach(DemandFeed())
     state.attach(
         UpdateFeed(
             cfg.ports.peers,
--- a/jackdawsill/relaying/__init__.py
+++ b/jackdawsill/relaying/__init__.py
@@ -8,8 +8,11 @@
 from jackdawsill.relaying import _handlers, _views  # noqa: F401
 from jackdawsill.relaying._effects import FollowStore
 from jackdawsill.relaying._feed import UpdateFeed, UpstreamState
+from jackdawsill.relaying._limit_demands import DemandFeed
 from jackdawsill.relaying._messages import (
     CrashNotice,
+    LimitDemand,
+    LimitDemandTotal,
     NewsBeat,
     NewsChange,
     NewsHelpers,
@@ -19,7 +22,10 @@
 
 __all__ = [
     "CrashNotice",
+    "DemandFeed",
     "FollowStore",
+    "LimitDemand",
+    "LimitDemandTotal",
     "NewsBeat",
     "NewsChange",
     "NewsHelpers",
--- a/jackdawsill/relaying/_messages.py
+++ b/jackdawsill/relaying/_messages.py
@@ -4,7 +4,7 @@
 to `revision` (and `base`); hosts of builds that do not know of eras do not state it.
 """
 
-from jackdawsill.forwarding import DelegateHost, ReplicaEntry, StorePosition
+from jackdawsill.forwarding import DelegateHost, Demand, ReplicaEntry, StorePosition
 from jackdawsill.peers import PeerMessage, register_message
 from jackdawsill.relaying._route_codec import PackedRoutes
 
@@ -89,6 +89,23 @@
     helpers: tuple[DelegateHost, ...]
 
 
+@register_message("LimitDemand")
+class LimitDemand(PeerMessage):
+    """Demand of the sender for services with limited replicas.
+
+    From a relay to another one it is that of the relay and its subscribers.
+    """
+
+    demands: dict[str, Demand]
+
+
+@register_message("LimitDemandTotal")
+class LimitDemandTotal(PeerMessage):
+    """Demand of the fleet for services with limited replicas, from a relay."""
+
+    demands: dict[str, Demand]
+
+
 @register_message("CrashNotice")
 class CrashNotice(PeerMessage):
     """Reports that a replica crashed while it ran a request."""
--- a/jackdawsill/relaying/tests/_fleet.py
+++ b/jackdawsill/relaying/tests/_fleet.py
@@ -22,6 +22,7 @@
     DelegateHost,
     DelegateTable,
     FleetSize,
+    LimitShares,
     ReplicaEntry,
     ReplicaRegistry,
     ReplicasChanged,
@@ -35,7 +36,7 @@
     StoreRegained,
 )
 from jackdawsill.peers import Decoder, encode
-from jackdawsill.relaying import FollowStore, UpdateFeed
+from jackdawsill.relaying import DemandFeed, FollowStore, UpdateFeed
 from jackdawsill.relaying._messages import PositionedMessage
 
 TICK_INTERVAL_S = 0.1
@@ -169,12 +170,14 @@
         self.address = address
         self.state = HostState(address, "near", random.Random(1))
         self.feed = UpdateFeed(address, fleet.seeds, is_first_start=first_start)
+        fleet_size = FleetSize()
         for component in (
             RouteCatalog(),
-            ReplicaRegistry("near", {}),
-            FleetSize(),
+            ReplicaRegistry("near", {}, LimitShares(fleet_size)),
+            fleet_size,
             CrashEvidence(),
             DelegateTable(100.0, DelegateHost(address, f"{address}:1", "near")),
+            DemandFeed(),
             self.feed,
         ):
             self.state.attach(component)
