Use a large count of the fleet at once

Callers: none seen. A host that restarts in a fleet of 195 took a part of limits and of the retry slack for 128 hosts during its first 5 s, although its relay had told it the count.

Cause: counts of the first 5 s were ignored, as they may be too small while a fleet starts. A larger one than the assumed 128 was ignored as well.

Change: the larger of both is used until then.

--- a/jackdawsill/forwarding/_fleet.py
+++ b/jackdawsill/forwarding/_fleet.py
@@ -2,13 +2,14 @@
 
 from collections import deque
 
-# Upper bound on the hosts of present fleets, used until the fleet has been counted.
+# Assumed number of hosts until the fleet has been counted; a larger count is used at
+# once.
 N_HOSTS_ASSUMED = 128
 # The largest count within this time is used, because a host that changes its relay is
 # briefly missing from the count.
 COUNT_WINDOW_S = 20.0
-# Counts are ignored until this long after the first one, when hosts that start together
-# are included.
+# Counts may be too small until this long after the first one, when hosts that start
+# together are included.
 COUNT_WARMUP_S = 5.0
 # Margin for hosts that are not counted yet.
 COUNT_MARGIN = 1.25
@@ -37,10 +38,9 @@
 
     def divisor(self, now: float) -> float:
         """Return the number by which a fleet-wide bound is divided."""
-        is_complete = (
-            self.first_count_at_ is not None
-            and now - self.first_count_at_ >= COUNT_WARMUP_S
-        )
-        if not is_complete or not self.counts_:
+        if self.first_count_at_ is None:
             return float(N_HOSTS_ASSUMED)
-        return COUNT_MARGIN * self.counts_[0][1]
+        counted = COUNT_MARGIN * self.counts_[0][1]
+        if now - self.first_count_at_ < COUNT_WARMUP_S:
+            return max(counted, N_HOSTS_ASSUMED)
+        return counted
