Remember replicas that leave also on hosts that read the store

Callers: after a return from a copy, relays and all other hosts that read the store themselves used replicas again that had left in the lost span, as the copy lists them, until their entries expired (3.6 s).

Cause: the position of an answer was confirmed before its changes were applied, so that what a relay sends on is not stated to be old. The registry took a removal at the confirmed position for the expiry of a lapsed entry, which is not remembered.

Change: an answer confirms the position that it was asked from, and its own position only once it is applied. Whether a change is an expiry is stated by the caller.

Evidence: test_replica_whose_leaving_was_watched and test_replica_that_a_later_list_lacks failed before with ['r1', 'r2'] != ['r1'].

--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -104,7 +104,15 @@
             for name, replica in self.replicas_.items()
             if replica.lapsed_at is not None
         }
-        dropped = self._apply(usable, gone, position, now, may_lapse=may_lapse)
+        dropped = self._apply(
+            usable,
+            gone,
+            position,
+            now,
+            may_lapse=may_lapse,
+            # A list at the known position lacks only what has expired.
+            has_expired=position == self.position_,
+        )
         for name in lapsed:
             if name in self.replicas_:
                 self.replicas_[name].lapsed_at = lapsed_at.get(name, now)
@@ -118,18 +126,27 @@
         now: float,
         *,
         may_lapse: bool | None = None,
+        has_expired: bool = False,
     ) -> list[str]:
         """Apply changed entries; return the names whose connections must be closed.
 
         These are replicas that were removed, restarted or began to drain. `may_lapse`
         tells whether entries may be missing only because the store was unreachable;
-        None decides it by whether this host can reach the store. An entry that its
-        replica wrote before the known one is ignored.
+        None decides it by whether this host can reach the store. With `has_expired`, a
+        peer removes lapsed entries, which the store has not listed for a while. An
+        entry that its replica wrote before the known one is ignored.
         """
         removed = tuple(removed)
         for name in removed:
             self.retired.forget(name)
-        return self._apply(written, removed, position, now, may_lapse=may_lapse)
+        return self._apply(
+            written,
+            removed,
+            position,
+            now,
+            may_lapse=may_lapse,
+            has_expired=has_expired,
+        )
 
     def _apply(
         self,
@@ -139,11 +156,10 @@
         now: float,
         *,
         may_lapse: bool | None,
+        has_expired: bool,
     ) -> list[str]:
         if may_lapse is None:
             may_lapse = self._may_have_lapsed(now)
-        # A peer removes lapsed entries at a position that is known already.
-        has_expired = position == self.position_
         self.may_lapse_ = may_lapse
         self.position_ = position
         dropped = []
--- a/jackdawsill/forwarding/_store_handlers.py
+++ b/jackdawsill/forwarding/_store_handlers.py
@@ -92,6 +92,7 @@
         event.position,
         now,
         may_lapse=event.may_lapse,
+        has_expired=event.base == event.position,
     )
     fields = {
         "revision": event.position.revision,
--- a/jackdawsill/gateway/_follower.py
+++ b/jackdawsill/gateway/_follower.py
@@ -110,12 +110,13 @@
                 await self._on_unavailable(str(exc))
 
     async def _read_all(self) -> None:
+        asked_from = self.known_position()
         snapshot = await self.store.read()
         self._check_era(snapshot.position)
         self._on_answer()
         self.needs_full_read_ = False
         # First, so that what a relay sends on is not stated to be old.
-        self.feed(StoreConfirmed(snapshot.position))
+        self.feed(StoreConfirmed(asked_from or snapshot.position))
         if snapshot.routes is not None:
             self.feed(RoutesRead(snapshot.routes, STORE))
         self.feed(ReplicasListed(snapshot.entries, snapshot.position, STORE))
@@ -132,9 +133,10 @@
         changes = await self.store.watch(base, wait_s)
         self._check_era(changes.position)
         self._on_answer()
-        # Confirm the old position after an empty result. A store that delays changes
-        # may state a newer revision, and a watch from there would skip them.
-        self.feed(StoreConfirmed(base if changes.is_empty else changes.position))
+        # First, so that what a relay sends on is not stated to be old. After an empty
+        # result only the old position is confirmed: a store that delays changes may
+        # state a newer revision, and a watch from there would skip them.
+        self.feed(StoreConfirmed(base))
         if changes.written or changes.removed:
             self.feed(
                 ReplicasChanged(
@@ -145,6 +147,7 @@
             self.feed(RoutesRead(changes.routes, STORE))
         if changes.is_empty:
             return
+        self.feed(StoreConfirmed(changes.position))
         self._last_pause_s = BATCHING_PAUSE_S
         await self._pause(BATCHING_PAUSE_S)
 
--- a/jackdawsill/gateway/tests/test_follower.py
+++ b/jackdawsill/gateway/tests/test_follower.py
@@ -5,6 +5,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from jackdawsill.core import PeerMessageRead, SendPeer, reduce
 from jackdawsill.forwarding import (
@@ -133,3 +134,38 @@
         self.assertEqual(registry.position_, after_return)
         self.assertEqual(list(registry.replicas_), ["r1"])
         self.assertEqual(self.state.component(UpdateFeed).confirmed_at_, confirmed_at)
+
+
+class TestReturnFromCopy(_FollowerCase):
+    """What a host that reads the store remembers when the store returns from a copy."""
+
+    def answer(self, position: StorePosition, *names: str) -> None:
+        """Let the store return a complete list."""
+        snapshot = StoreSnapshot(ROUTES, tuple(map(entry, names)), position)
+        self.follower.store.read = mock.AsyncMock(return_value=snapshot)
+
+    async def check_copy(self) -> None:
+        """Check that a copy which lists both replicas adds none."""
+        registry = self.state.component(ReplicaRegistry)
+        self.assertEqual(list(registry.replicas_), ["r1"])
+        self.answer(StorePosition(2, 7), "r1", "r2")
+        await self.follower._read_all()
+        self.assertEqual(registry.position_, StorePosition(2, 7))
+        self.assertEqual(list(registry.replicas_), ["r1"])
+
+    async def test_replica_whose_leaving_was_watched(self):
+        """Guards against a replica that is used again as the copy lists it."""
+        self.answer(StorePosition(1, 7), "r1", "r2")
+        await self.follower._read_all()
+        changes = StoreChanges(None, (), ("r2",), StorePosition(1, 8))
+        self.follower.store.watch = mock.AsyncMock(return_value=changes)
+        await self.follower._watch_once()
+        await self.check_copy()
+
+    async def test_replica_that_a_later_list_lacks(self):
+        """Guards against a replica that is used again after a loss of history."""
+        self.answer(StorePosition(1, 7), "r1", "r2")
+        await self.follower._read_all()
+        self.answer(StorePosition(1, 9), "r1")
+        await self.follower._read_all()
+        await self.check_copy()
