Drop an answer of the store that a peer has overtaken

Callers: a host that read the store itself removed live replicas which a peer had told it of meanwhile, and closed their connections, until its next watch. If the store returned from a copy before that, these replicas counted as having left, and the host held them back for 8 s: calls that only they could serve, such as those of a route that had just been added, were refused.

Cause: a complete list takes several reads (a page for each 50 replicas, then the configuration) and is as old as its first page. It replaced what was known, whatever position the host had reached meanwhile; so did the changes of a late watch.

Change: an answer at or before the known position is dropped if that has changed since the store was asked (is_overtaken). If it has not, a lower answer means that the store has gone back, and counts as before.

Evidence: test_list_that_a_peer_has_overtaken and test_changes_that_a_peer_has_overtaken failed before.

--- a/jackdawsill/forwarding/__init__.py
+++ b/jackdawsill/forwarding/__init__.py
@@ -61,6 +61,7 @@
     RouteSet,
     StorePosition,
     WeightedService,
+    is_overtaken,
 )
 from jackdawsill.forwarding._policy import ForwardingPolicy
 from jackdawsill.forwarding._registry import ReplicaRegistry
@@ -124,4 +125,5 @@
     "WeightedService",
     "add_demands",
     "greatest_records",
+    "is_overtaken",
 ]
--- a/jackdawsill/forwarding/_model.py
+++ b/jackdawsill/forwarding/_model.py
@@ -71,6 +71,17 @@
 STORE_START = StorePosition(0, 0)
 
 
+def is_overtaken(
+    answer: StorePosition, asked_from: StorePosition | None, known: StorePosition | None
+) -> bool:
+    """Tell whether other hosts have told of all that an answer of the store holds.
+
+    It was asked for at the position `asked_from`, and `known` is the present one. If
+    they are equal, a lower answer shows that the store has gone back.
+    """
+    return known is not None and known != asked_from and answer <= known
+
+
 class ReplicaEntry(msgspec.Struct, frozen=True):
     """A replica as the platform's service discovery publishes it."""
 
--- a/jackdawsill/gateway/_follower.py
+++ b/jackdawsill/gateway/_follower.py
@@ -16,6 +16,7 @@
     StoreLost,
     StorePosition,
     StoreRegained,
+    is_overtaken,
 )
 from jackdawsill.gateway._store import BaseStore, HistoryLost, StoreUnavailable
 from jackdawsill.relaying import FollowStore
@@ -119,7 +120,8 @@
         self.feed(StoreConfirmed(asked_from or snapshot.position))
         if snapshot.routes is not None:
             self.feed(RoutesRead(snapshot.routes, STORE))
-        self.feed(ReplicasListed(snapshot.entries, snapshot.position, STORE))
+        if not is_overtaken(snapshot.position, asked_from, self.known_position()):
+            self.feed(ReplicasListed(snapshot.entries, snapshot.position, STORE))
 
     async def _watch_once(self) -> None:
         base = self.known_position()
@@ -137,7 +139,8 @@
         # result only the old position is confirmed: a store that delays changes may
         # state a newer revision, and a watch from there would skip them.
         self.feed(StoreConfirmed(base))
-        if changes.written or changes.removed:
+        is_old = is_overtaken(changes.position, base, self.known_position())
+        if (changes.written or changes.removed) and not is_old:
             self.feed(
                 ReplicasChanged(
                     changes.written, changes.removed, changes.position, STORE, base
--- a/jackdawsill/gateway/tests/test_follower.py
+++ b/jackdawsill/gateway/tests/test_follower.py
@@ -12,7 +12,9 @@
     PEER,
     ReplicaEntry,
     ReplicaRegistry,
+    ReplicasChanged,
     ReplicasListed,
+    RouteCatalog,
     RouteSet,
     StorePosition,
 )
@@ -105,34 +107,88 @@
                 self.assertEqual(set(ages), {0.0})
 
 
-class TestEndedEra(_FollowerCase):
-    """An answer that is read after other hosts have told of the store's return."""
+class _LateAnswerCase(_FollowerCase):
+    """An answer of the store that is read after other hosts have told of more."""
 
-    async def test_late_answer_to_a_watch(self):
-        """Guards against going back to what was written before the return."""
+    def delay(self, method: str) -> None:
+        """Let a method of the store return once `self.answer` is set."""
+        self.asked = asyncio.Event()
+        self.answer = asyncio.Event()
+        original = getattr(self.follower.store, method)
+
+        async def late(*args):
+            self.asked.set()
+            await self.answer.wait()
+            return await original(*args)
+
+        setattr(self.follower.store, method, late)
+
+    @property
+    def known(self) -> tuple[StorePosition, list[str]]:
+        """Return the known position and replicas."""
+        registry = self.state.component(ReplicaRegistry)
+        return registry.position_, sorted(registry.replicas_)
+
+
+class TestOvertakenAnswers(_LateAnswerCase):
+    """Other hosts have told of later changes of the same era."""
+
+    async def test_list_that_a_peer_has_overtaken(self):
+        """Guards against live replicas that are removed, and held back after a return.
+
+        They would count as having left in the era of the list.
+        """
+        self.delay("read")
+        task = asyncio.create_task(self.follower._read_all())
+        await self.asked.wait()
+        later = StorePosition(1, 9)
+        self.feed(ReplicasListed((entry("r1"), entry("r3")), later, PEER))
+        self.answer.set()
+        await task
+        self.assertEqual(self.known, (later, ["r1", "r3"]))
+        self.assertEqual(self.state.component(RouteCatalog).version, ROUTES.version)
+        listed = ReplicasListed((entry("r1"), entry("r3")), StorePosition(2, 3), PEER)
+        self.feed(listed)
+        self.assertEqual(self.known, (StorePosition(2, 3), ["r1", "r3"]))
+
+    async def test_changes_that_a_peer_has_overtaken(self):
+        """Guards against a replica that is used again after its removal was known."""
+        await self.follower._read_all()
+        self.delay("watch")
+        task = asyncio.create_task(self.follower._watch_once())
+        await self.asked.wait()
+        base, later = StorePosition(1, 7), StorePosition(1, 9)
+        removed = ReplicasChanged((), ("r2",), later, PEER, base, False)
+        self.feed(removed)
+        self.answer.set()
+        await task
+        self.assertEqual(self.known, (later, ["r1"]))
+
+    async def test_list_of_a_store_that_has_gone_back(self):
+        """Guards against a host that never reads a store which states no era."""
+        self.feed(ReplicasListed((entry("r9"),), StorePosition(1, 50), PEER))
         await self.follower._read_all()
-        watching = asyncio.Event()
-        answer = asyncio.Event()
-        watch = self.follower.store.watch
+        self.assertEqual(self.known[0], StorePosition(1, 7))
+        self.assertIn("r1", self.known[1])
 
-        async def watch_late(position, wait_s):
-            watching.set()
-            await answer.wait()
-            return await watch(position, wait_s)
 
-        self.follower.store.watch = watch_late
+class TestEndedEra(_LateAnswerCase):
+    """Other hosts have told of the store's return."""
+
+    async def test_late_answer_to_a_watch(self):
+        """Guards against going back to what was written before the return."""
+        await self.follower._read_all()
+        self.delay("watch")
         task = asyncio.create_task(self.follower._watch_once())
-        await watching.wait()
+        await self.asked.wait()
         self.now += SILENCE_S
         after_return = StorePosition(2, 3)
         self.feed(ReplicasListed((entry("r1"),), after_return, PEER))
         confirmed_at = self.state.component(UpdateFeed).confirmed_at_
-        answer.set()
+        self.answer.set()
         with self.assertRaises(StoreUnavailable):
             await task
-        registry = self.state.component(ReplicaRegistry)
-        self.assertEqual(registry.position_, after_return)
-        self.assertEqual(list(registry.replicas_), ["r1"])
+        self.assertEqual(self.known, (after_return, ["r1"]))
         self.assertEqual(self.state.component(UpdateFeed).confirmed_at_, confirmed_at)
 
 
--- a/jackdawsill/relaying/tests/_fleet.py
+++ b/jackdawsill/relaying/tests/_fleet.py
@@ -34,6 +34,7 @@
     StoreLost,
     StorePosition,
     StoreRegained,
+    is_overtaken,
 )
 from jackdawsill.peers import Decoder, encode
 from jackdawsill.relaying import DemandFeed, FollowStore, UpdateFeed
@@ -155,6 +156,21 @@
         return RouteSet(self.version, (), {})
 
 
+class Answer:
+    """Answer of the store to a host that asked from a position, until it is read."""
+
+    __slots__ = ("asked_from", "due_at", "position", "replicas", "routes")
+
+    def __init__(
+        self, due_at: float, asked_from: StorePosition | None, position: StorePosition
+    ) -> None:
+        self.due_at = due_at
+        self.asked_from = asked_from
+        self.position = position
+        self.replicas: ReplicasListed | ReplicasChanged | None = None
+        self.routes: RoutesRead | None = None
+
+
 class Host:
     """One host; it reads the store at each tick while `FollowStore` is in effect.
 
@@ -183,6 +199,8 @@
             self.state.attach(component)
         self.follows = False
         self.reaches_store = True
+        self.answer_delay_s = 0.0  # of the store
+        self.awaited: Answer | None = None  # on its way
         self.n_reads = 0
         self.n_bytes_sent = 0
 
@@ -201,22 +219,41 @@
                 self.fleet.send(self, effect.link_id, effect.message)
 
     def follow(self) -> None:
-        """Read the changes of the store since this host's revision."""
-        store = self.fleet.store
+        """Ask the store for changes since this host's revision, or use its answer."""
         if not self.follows:
             return
         if not self.reaches_store:
+            self.awaited = None
             self.handle(StoreLost("refused"))
             return
+        if self.awaited is None:
+            self.n_reads += 1
+            self.awaited = self.ask_store()
+        if self.fleet.now < self.awaited.due_at:
+            return
+        answer, self.awaited = self.awaited, None
+        known = self.state.component(ReplicaRegistry).position_
+        if known is not None and answer.position.era < known.era:
+            return
         self.handle(StoreRegained())
-        self.n_reads += 1
-        registry = self.state.component(ReplicaRegistry)
-        known = registry.position_
+        self.handle(StoreConfirmed(answer.asked_from or answer.position))
+        is_old = is_overtaken(answer.position, answer.asked_from, known)
+        if answer.replicas is not None and not is_old:
+            self.handle(answer.replicas)
+        if answer.routes is not None:
+            self.handle(answer.routes)
+        self.handle(StoreConfirmed(answer.position))
+
+    def ask_store(self) -> Answer:
+        """Return the answer of the store to a read or watch of this host."""
+        store = self.fleet.store
+        known = self.state.component(ReplicaRegistry).position_
         position = StorePosition(0 if self.is_older else store.era, store.revision)
+        answer = Answer(self.fleet.now + self.answer_delay_s, known, position)
         # A watch from another era, or from a later revision, gets no changes.
         if known is None or known.era != position.era or known > position:
             entries = tuple(store.entries.values())
-            self.handle(ReplicasListed(entries, position, STORE))
+            answer.replicas = ReplicasListed(entries, position, STORE)
         elif known < position:
             removed = tuple(
                 name
@@ -229,11 +266,12 @@
                 if store.written_at[name] > known.revision
             )
             if written or removed:
-                change = ReplicasChanged(written, removed, position, STORE, known)
-                self.handle(change)
+                answer.replicas = ReplicasChanged(
+                    written, removed, position, STORE, known
+                )
         if self.state.component(RouteCatalog).version < store.version:
-            self.handle(RoutesRead(store.routes(), STORE))
-        self.handle(StoreConfirmed(position))
+            answer.routes = RoutesRead(store.routes(), STORE)
+        return answer
 
     @property
     def known(self) -> tuple[int, list[str]]:
@@ -256,6 +294,8 @@
             for i in range(n_hosts)
         }
         self.down: set[str] = set()
+        # Suspended host -> events that it handles once it runs again.
+        self.frozen: dict[str, list] = {}
         # Messages sent while others are delivered arrive one tick later.
         self.is_slow = False
         # Pairs of hosts whose messages are dropped while their links stay open.
@@ -299,6 +339,10 @@
         """Stop a host without closing its links."""
         self.down.add(address)
 
+    def thaw(self, address: str) -> None:
+        """Let a suspended host run again; it first handles what has arrived."""
+        self.queue.extend(self.frozen.pop(address))
+
     def restart(self, address: str, *, is_older: bool = False) -> None:
         """Replace a host by a new process; the links of the old one are closed."""
         old = self.hosts[address]
@@ -310,13 +354,14 @@
         self.queue = deque(item for item in self.queue if item[0] is not old)
         self.hosts[address] = Host(self, address, first_start=False, is_older=is_older)
         self.down.discard(address)
+        self.frozen.pop(address, None)
 
     def run(self, seconds: float) -> None:
         """Run ticks for a number of seconds."""
         for _ in range(round(seconds / TICK_INTERVAL_S)):
             self.now += TICK_INTERVAL_S
             for host in self.hosts.values():
-                if host.address not in self.down:
+                if host.address not in self.down and host.address not in self.frozen:
                     host.handle(Tick())
                     host.follow()
             self.deliver()
@@ -329,7 +374,9 @@
             host, event = self.queue.popleft()
             n_delivered += 1
             assert n_delivered < 10_000, "messages circulate forever"
-            if host.address not in self.down:
+            if host.address in self.frozen:
+                self.frozen[host.address].append((host, event))
+            elif host.address not in self.down:
                 host.handle(event)
 
     def outdated_hosts(self) -> list[str]:
--- a/jackdawsill/relaying/tests/test_search.py
+++ b/jackdawsill/relaying/tests/test_search.py
@@ -67,7 +67,8 @@
         names = [frozenset(entries) for entries in listed]
         for address, known in self.fleet.hosts.items():
             is_calm = now - self.disturbed[address] >= CALM_S and known.reaches_store
-            if address in self.fleet.down or known.is_older or not is_calm:
+            is_running = address not in self.fleet.down | self.fleet.frozen.keys()
+            if not is_running or known.is_older or not is_calm:
                 continue
             registry = known.state.component(ReplicaRegistry)
             assert known.known[0] >= version, f"{address} has an old configuration"
@@ -178,6 +179,15 @@
         self.disturbed[address] = self.fleet.now
         self.fleet.stop(address)
 
+    @rule(address=host)
+    def freeze_or_thaw(self, address):
+        """A host is suspended with its links open, or runs again."""
+        self.disturbed[address] = self.fleet.now
+        if address in self.fleet.frozen:
+            self.fleet.thaw(address)
+        else:
+            self.fleet.frozen[address] = []
+
     @rule(address=host, reaches=st.booleans())
     def store_for(self, address, reaches):
         """The store becomes unreachable for a host, or reachable again."""
@@ -186,6 +196,11 @@
             self.disturbed[address] = self.fleet.now
             known.reaches_store = reaches
 
+    @rule(address=host, delay_s=st.sampled_from((0.0, 0.3, 0.8)))
+    def answers_of_the_store(self, address, delay_s):
+        """Answers of the store take longer on their way to a host, or no longer."""
+        self.fleet.hosts[address].answer_delay_s = delay_s
+
     @rule(pair=st.sets(host, min_size=2, max_size=2))
     def mute(self, pair):
         """The link between two hosts starts or stops losing all messages."""
