--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -42,6 +42,7 @@
         n_slots: int = 2,
         n_queued: int = 12,
         max_connections: int = 50,
+        idle_timeout_s: int = IDLE_TIMEOUT_S,
     ) -> None:
         self.name = name
         self.service = service
@@ -51,6 +52,7 @@
         self.n_slots = n_slots
         self.n_queued = n_queued
         self.max_connections = max_connections
+        self.idle_timeout_s = idle_timeout_s
         self.crashes_on: Callable[[Request], bool] = lambda request: False
         self.on_crash: Callable[[Replica], None] = lambda replica: None
         self.address = ""
@@ -116,7 +118,7 @@
         watcher: asyncio.Task | None = None
         try:
             while True:
-                async with asyncio.timeout(IDLE_TIMEOUT_S):
+                async with asyncio.timeout(self.idle_timeout_s):
                     request = await read_request(reader)
                 work = asyncio.get_running_loop().create_task(self._run(request))
                 self._tasks.add(work)
@@ -151,7 +153,10 @@
     async def _run(self, request: Request) -> bytes | None:
         """Return the answer to a request, or None if the process has crashed."""
         request_id = request.headers.get("request-id", "")
-        echo = {"Request-Id": request_id, "Keep-Alive": f"timeout={IDLE_TIMEOUT_S}"}
+        echo = {
+            "Request-Id": request_id,
+            "Keep-Alive": f"timeout={self.idle_timeout_s}",
+        }
         if request.headers.get("expected-instance", self.name) != self.name:
             return encode_reply(421, {**echo, "Instance-Id": self.name})
         self.on_event("arrived", self, request)
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -32,7 +32,12 @@
         self.address = f"{bound[0]}:{bound[1]}"
 
     async def put(self, key: str, value: Any) -> None:
-        """Write a document; the return is the acknowledgement."""
+        """Write a document; the return is the acknowledgement.
+
+        An entry of which only the count of writes differs does not change.
+        """
+        if key.startswith(ENTRY_PREFIX) and self._is_same(key, value):
+            return
         self.revision += 1
         item = {
             "key": key,
@@ -44,6 +49,13 @@
         self.items[key] = item
         await self._publish(item)
 
+    def _is_same(self, key: str, value: dict[str, Any]) -> bool:
+        known = self.items.get(key)
+        if known is None:
+            return False
+        document = json.loads(base64.b64decode(known["value"]))
+        return document | {"sequence": 0} == value | {"sequence": 0}
+
     async def remove(self, key: str) -> None:
         """Remove a document."""
         if self.items.pop(key, None) is None:
