--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,8 +17,8 @@
 RESTART_S = 2.5
 N_HARMFUL = 12
 DEADLINE_MS = 4000
-# Pauses between the requests of a client; each host has one client for each service.
-PAUSE_S = 0.06
+# Clients of each host for each service, and their pauses between requests.
+N_CLIENTS, PAUSE_S = 3, 0.05
 HARMFUL_INTERVAL_S = 7.0
 STABLE_S = BOUNDS["stable_window_ms"] / 1000
 N_CRASHED, N_RETRIES_ALLOWED = 3, 3
@@ -71,7 +71,13 @@
     for service in ("specs", "orders"):
         for zone in ZONES:
             replica = Replica(
-                f"i-{service}-{zone}", service, zone, on_event, work_s=0.005, n_slots=3
+                f"i-{service}-{zone}",
+                service,
+                zone,
+                on_event,
+                work_s=0.01,
+                idle_timeout_s=60,
+                n_slots=3,
             )
             if has_trouble:
                 replica.crashes_on = lambda r: r.target == HARMFUL_TARGET
@@ -123,10 +129,10 @@
             await send(gateway, f"{prefix}{number}")
             await asyncio.sleep(PAUSE_S)
 
-    for gateway in gateways:
-        for prefix in ("/specs/", "/orders/"):
-            loop = asyncio.get_running_loop()
-            tasks.add(loop.create_task(load(gateway, prefix)))
+    for gateway, prefix in itertools.product(gateways, ("/specs/", "/orders/")):
+        for _ in range(N_CLIENTS):
+            task = asyncio.get_running_loop().create_task(load(gateway, prefix))
+            tasks.add(task)
     await asyncio.sleep(3.0)
     for number in range(N_HARMFUL):
         await send(gateways[number % len(gateways)], HARMFUL_TARGET)
--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import hashlib
-import json
+import random
 import time
 from collections.abc import Callable
 from typing import Any
@@ -27,8 +27,7 @@
     """Serve one service; `n_slots` requests at once, `n_queued` more wait.
 
     `on_event` gets the name of an event, the replica and the request. `crashes_on`
-    tells whether a request crashes the process that begins to run it. `headers` are
-    added to each answer.
+    tells whether a request crashes the process that begins to run it.
     """
 
     def __init__(
@@ -172,10 +171,11 @@
                 deadline_s = float(request.headers.get("deadline-ms", 60_000)) / 1000
                 stamp = f"{self.service}.{request_id}.{self.name}"
                 echo["Server-Stamp"] = stamp
-                if deadline_s < self.work_s:
+                work_s = self.work_s * random.uniform(0.5, 1.5)
+                if deadline_s < work_s:
                     await asyncio.sleep(deadline_s)
                     return encode_reply(504, echo)
-                await asyncio.sleep(self.work_s)
+                await asyncio.sleep(work_s)
         finally:
             self.n_accepted -= 1
         return encode_reply(200, echo, expected_body(self.service, request_id))
@@ -186,8 +186,3 @@
             await asyncio.sleep(HEARTBEAT_S)
             if self.is_up:
                 await self.register(store)
-
-
-def describe(request: Request) -> str:
-    """Return a request as one line."""
-    return json.dumps([request.method, request.target, request.headers])
