--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 import time
 import traceback
@@ -91,6 +92,9 @@
         # Connections that end with the case are no errors.
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda loop, context: None)
+        task = asyncio.current_task()
+        assert task is not None
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(MAX_RUN_S):
                 return await main(record, has_trouble, started)
@@ -102,7 +106,7 @@
     status = NOT_RUN
     try:
         status = BROKEN if asyncio.run(run()) else HELD
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
     finally:
         verdict = {HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[status]
--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -133,12 +133,13 @@
                 answer = work.result()
                 if answer is None or not self.is_up:
                     return
-                writer.write(answer)
-                await writer.drain()
                 watcher.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
-                    if await watcher:
-                        return
+                    await watcher
+                    # The gateway has closed the connection just now.
+                    return
+                writer.write(answer)
+                await writer.drain()
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return
         except asyncio.CancelledError:
