--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 from pathlib import Path
 
 from lib.case import BOUNDS, Record, config, run_case
@@ -18,7 +19,7 @@
 N_HARMFUL = 12
 DEADLINE_MS = 4000
 # Clients of each host for each service, and their pauses between requests.
-N_CLIENTS, PAUSE_S = 3, 0.05
+N_CLIENTS, LONGEST_PAUSE_S = 10, 0.3
 HARMFUL_INTERVAL_S = 7.0
 STABLE_S = BOUNDS["stable_window_ms"] / 1000
 N_CRASHED, N_RETRIES_ALLOWED = 3, 3
@@ -127,7 +128,7 @@
     async def load(gateway: Gateway, prefix: str) -> None:
         for number in itertools.count():
             await send(gateway, f"{prefix}{number}")
-            await asyncio.sleep(PAUSE_S)
+            await asyncio.sleep(random.uniform(0, LONGEST_PAUSE_S))
 
     for gateway, prefix in itertools.product(gateways, ("/specs/", "/orders/")):
         for _ in range(N_CLIENTS):
