Count crashes on connections that have carried answers before

Callers saw: a request that crashes each replica that runs it was never refused.

Cause: a connection kept the state of its last response until the next one began. When the replica ended without a byte, `connection_lost` found the head of the response before and reported a bad answer, not a crash, so nothing was kept as a lost request and nothing verified. The same state was left by an interim (1xx) and by a late answer to an earlier request.

Change: the state is reset when an attempt is sent, and after each response that does not end it. Then the state speaks only of the response to the present attempt.

--- a/jackdawsill/http1/_connection.py
+++ b/jackdawsill/http1/_connection.py
@@ -70,6 +70,7 @@
         self._reset()
 
     def _reset(self) -> None:
+        """Forget the last response, so that its state cannot pass for the next one."""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
         self._release_held()
@@ -85,6 +86,7 @@
 
     def write(self, attempt: SendAttempt, data: bytes) -> None:
         """Send an attempt over this idle connection."""
+        self._reset()
         self.attempt = attempt
         self.meter.start_request()
         if not self.is_reused:
@@ -154,7 +156,7 @@
             self.must_close = True
             return
         if self.status < 200:
-            self.meter.add_extra_response()
+            self._skip_response()
             return
         headers = tuple(self.headers)
         is_own = self._is_response_to(attempt, headers)
@@ -165,7 +167,12 @@
         else:
             # A late or duplicate response to an earlier request on this connection.
             self.must_close = True
-            self.meter.add_extra_response()
+            self._skip_response()
+
+    def _skip_response(self) -> None:
+        """Count and forget a response that does not end the attempt."""
+        self.meter.add_extra_response()
+        self._reset()
 
     def _is_response_to(self, attempt: SendAttempt, headers) -> bool | None:
         """Return whether a response belongs to an attempt; None if unknown.
--- a/jackdawsill/http1/tests/test_connection.py
+++ b/jackdawsill/http1/tests/test_connection.py
@@ -395,3 +395,63 @@
         """Guards against accepting a response that a reset may have truncated."""
         (end,) = self.ends(ConnectionResetError())
         self.assertIsInstance(end, AttemptFailed)
+
+
+class TestLostConnections(unittest.TestCase):
+    """A connection lost before the response began is a possible crash."""
+
+    def end(self, before: list[bytes]) -> AttemptFailed:
+        """Return how the last attempt ends if its connection is lost.
+
+        `before` holds what is received first: the responses to earlier attempts, then
+        what precedes the response to the last one.
+        """
+
+        async def run():
+            pool = _FakePool()
+            *responses, extra = before
+            for number, response in enumerate(responses, 1):
+                pool.send(number)
+                pool.feed(response)
+                await asyncio.sleep(0)
+            pool.send(len(before))
+            pool.feed(extra)
+            pool.conn.eof_received()
+            pool.conn.connection_lost(None)
+            await asyncio.sleep(0)
+            return pool.ends
+
+        ends = asyncio.run(run())
+        self.assertEqual(len(ends), len(before))
+        return ends[-1]
+
+    def test_reused_connection(self):
+        """Guards against a crash on a reused connection that counts as a bad answer.
+
+        The state of the response before must not count as the beginning of this one.
+        """
+        chunked = encode_response(1, b"one", chunked=True)
+        refused = b"HTTP/1.1 503 No\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+        for first in encode_response(1, b"one"), chunked, refused:
+            with self.subTest(first=first):
+                end = self.end([first, b""])
+                self.assertEqual(end.kind, FailureKind.CRASH)
+                self.assertEqual(end.detail, "connection closed")
+
+    def test_after_an_interim_response(self):
+        """Guards against a crash after a 1xx response that counts as a bad answer."""
+        end = self.end([INTERIM_RESPONSE])
+        self.assertEqual(end.kind, FailureKind.CRASH)
+        end = self.end([encode_response(1, b"one"), INTERIM_RESPONSE])
+        self.assertEqual(end.kind, FailureKind.CRASH)
+
+    def test_after_a_late_response(self):
+        """Guards against a crash after a foreign answer that counts as a bad answer."""
+        end = self.end([encode_response(1, b"one"), EXTRA_RESPONSE])
+        self.assertEqual(end.kind, FailureKind.CRASH)
+
+    def test_during_the_response(self):
+        """Guards against a detail that hides how far the response came."""
+        head = encode_response(2, b"second")[:-3]
+        end = self.end([encode_response(1, b"one"), head])
+        self.assertIn("during the response", end.detail)
