Count crashes in the middle of an answer

A replica that crashes after the head of its answer counted as one with a bad answer, so a request that does this to each replica was never refused.

Cause: `connection_lost` took the beginning of a response for a sign that the replica lives. Whether it has crashed is shown by the new connection that follows a lost one (refused, or the store tells of its end), not by how far the answer came.

Change: a connection lost before the whole response is a possible crash; the detail still says "during the response". A replica that only broke off its answer accepts the new connection, and on_connected drops the lost request then, as before.

--- a/jackdawsill/core/_events.py
+++ b/jackdawsill/core/_events.py
@@ -27,7 +27,7 @@
     STARTING = "starting"  # refused, the replica is not ready yet
     DECLINED = "declined"  # refused, the replica does not serve the snapshot
     MISDIRECTED = "misdirected"  # another process has the address
-    CRASH = "crash"  # connection lost after sending, without a response
+    CRASH = "crash"  # connection lost after sending, before a whole response
     TIMEOUT = "timeout"  # sent, no answer before the deadline
     BAD_ANSWER = "bad_answer"  # truncated, oversized, or for another request
     CANCELLED = "cancelled"  # cancelled by this host
--- a/jackdawsill/http1/_connection.py
+++ b/jackdawsill/http1/_connection.py
@@ -262,13 +262,15 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the attempt, whose request may have run."""
+        """Fail the attempt, whose request may have run.
+
+        The replica may have crashed, whether or not it had begun its response.
+        """
         self.must_close = True
         detail = "connection closed" if exc is None else type(exc).__name__
-        if self.head_complete and self.attempt is not None:
-            self.fail(FailureKind.BAD_ANSWER, f"{detail} during the response")
-        else:
-            self.fail(FailureKind.CRASH, detail)
+        if self.head_complete:
+            detail += " during the response"
+        self.fail(FailureKind.CRASH, detail)
 
     def _release_held(self) -> None:
         """Stop counting the unfinished response towards the client's limit."""
--- a/jackdawsill/http1/tests/test_connection.py
+++ b/jackdawsill/http1/tests/test_connection.py
@@ -398,7 +398,7 @@
 
 
 class TestLostConnections(unittest.TestCase):
-    """A connection lost before the response began is a possible crash."""
+    """A connection lost before the response is complete is a possible crash."""
 
     def end(self, before: list[bytes]) -> AttemptFailed:
         """Return how the last attempt ends if its connection is lost.
@@ -451,7 +451,10 @@
         self.assertEqual(end.kind, FailureKind.CRASH)
 
     def test_during_the_response(self):
-        """Guards against a detail that hides how far the response came."""
-        head = encode_response(2, b"second")[:-3]
-        end = self.end([encode_response(1, b"one"), head])
-        self.assertIn("during the response", end.detail)
+        """Guards against a crash in the middle of an answer that is no evidence."""
+        whole = encode_response(2, b"second")
+        for n_missing in 1, 3, len(b"second"):
+            with self.subTest(n_missing=n_missing):
+                end = self.end([encode_response(1, b"one"), whole[:-n_missing]])
+                self.assertEqual(end.kind, FailureKind.CRASH)
+                self.assertIn("during the response", end.detail)
