Run delegated calls only by the version of the host that delegates

Cause: a delegated call did not say by which configuration it must be handled. The delegate routed it by its own, whatever its age, and its refusal was passed on as the answer. RouteCatalog takes rising versions only, so each host alone never goes back; the logs show call_unrouted with the older `config` at the delegate, and the caller's host with the later one.

Change: a delegated call states the version, and a delegate with any other one declines before anything runs; then the host runs the call itself. A host that reaches no replica cannot, so it follows a delegate's later version: it requires that version of all hosts from then on, and handles nothing by an older one itself, until it has read it. Delegates of older builds do not look at the version; they get no fan-outs, and other calls last.

--- a/jackdawsill/forwarding/_admit.py
+++ b/jackdawsill/forwarding/_admit.py
@@ -9,7 +9,7 @@
 from jackdawsill.forwarding._crashes import CrashEvidence, fingerprint
 from jackdawsill.forwarding._delegates import DelegateTable, send_to_delegate
 from jackdawsill.forwarding._dispatch import call_timer, send_first
-from jackdawsill.forwarding._diversion import divert_or_refuse
+from jackdawsill.forwarding._diversion import divert_or_refuse, must_divert
 from jackdawsill.forwarding._effects import RefuseCall
 from jackdawsill.forwarding._events import CallArrived
 from jackdawsill.forwarding._lifecycle import GatewayLifecycle
@@ -36,6 +36,12 @@
     """Route a call and send its first attempts."""
     catalog = state.component(RouteCatalog)
     req = event.req
+    if event.is_delegated and event.config_version not in (None, catalog.version):
+        detail = f"version {catalog.version} is not {event.config_version}"
+        error = errors.DelegationDeclined(
+            f"this host has another configuration: {detail}"
+        )
+        return _refuse_unrouted(event, error, catalog.version)
     if catalog.routes_ is None:
         error = errors.NoRoutesYet(
             "no configuration has been read yet",
@@ -43,6 +49,12 @@
         )
         return _refuse_unrouted(event, error, 0)
     route = catalog.find(req)
+    if route is None and catalog.is_behind and not event.is_delegated:
+        error = errors.ConfigurationBehind(
+            f"version {catalog.shown_version_} has not been read yet",
+            retry_after_ms=int(1000 * RETRY_AFTER_UNKNOWN_S),
+        )
+        return _refuse_unrouted(event, error, catalog.version)
     if route is None:
         error = errors.NoSuchRoute("no route matches the host name and path")
         return _refuse_unrouted(event, error, catalog.version)
@@ -54,8 +66,8 @@
         error = errors.Condemned("the request crashed the replicas that ran it")
         return refuse(state, call, now, error)
     call.is_for_peer = event.is_delegated
-    if state.component(ReplicaRegistry).reach.is_cut and now < call.deadline_at:
-        return _admit_while_cut(state, call, now)
+    if must_divert(state, call) and now < call.deadline_at:
+        return _admit_elsewhere(state, call, now)
     refusal = _check_servable(state, call, now)
     if refusal is not None:
         _record_demand(state, call, now)
@@ -71,8 +83,8 @@
     return run_locally(state, call, now)
 
 
-def _admit_while_cut(state: HostState, call: Call, now: float) -> list[Effect]:
-    """Run a call through another host, since this one reaches no replica."""
+def _admit_elsewhere(state: HostState, call: Call, now: float) -> list[Effect]:
+    """Run a call through another host, since this one must not run it."""
     if call.is_for_peer:
         error = errors.DelegationDeclined("this host reaches no replica")
         return refuse(state, call, now, error)
@@ -99,10 +111,9 @@
 
 def reclaim_from_delegate(state: HostState, call: Call, now: float) -> list[Effect]:
     """Run a call after its delegate failed without running it."""
-    if state.component(ReplicaRegistry).reach.is_cut:
-        call.is_delegated = False
-        return divert_or_refuse(state, call, now)
     call.is_delegated = False
+    if must_divert(state, call):
+        return divert_or_refuse(state, call, now)
     call.parts = [Part(call, service) for service in call.services]
     return run_locally(state, call, now)
 
--- a/jackdawsill/forwarding/_attempt_handlers.py
+++ b/jackdawsill/forwarding/_attempt_handlers.py
@@ -22,7 +22,11 @@
     send_hedge,
     send_retry,
 )
-from jackdawsill.forwarding._diversion import can_divert, divert_or_refuse
+from jackdawsill.forwarding._diversion import (
+    can_divert,
+    divert_or_refuse,
+    follow_version,
+)
 from jackdawsill.forwarding._effects import DropReplicaConnections, VerifyReplica
 from jackdawsill.forwarding._events import (
     AttemptAnswered,
@@ -196,6 +200,7 @@
     if call.is_ended or part.is_done:
         return effects
     if call.is_delegated and not_run:
+        effects += follow_version(state, attempt, event.delegate_version)
         return [*effects, *reclaim_from_delegate(state, call, now)]
     part.outcome = str(kind)
     is_cut = state.component(ReplicaRegistry).reach.is_cut
--- a/jackdawsill/forwarding/_catalog.py
+++ b/jackdawsill/forwarding/_catalog.py
@@ -17,13 +17,18 @@
 
 
 class RouteCatalog:
-    """Hold the newest configuration read by this process; older ones are ignored."""
+    """Hold the newest configuration read by this process; older ones are ignored.
 
-    __slots__ = ("by_host_", "read_at_", "routes_", "weights_")
+    Callers of this host have been served by other hosts with version `shown_version_`,
+    so nothing may be handled by an older one.
+    """
+
+    __slots__ = ("by_host_", "read_at_", "routes_", "shown_version_", "weights_")
 
     def __init__(self) -> None:
         self.routes_: RouteSet | None = None
         self.read_at_ = 0.0
+        self.shown_version_ = 0
         self.by_host_: dict[bytes, list[ForwardRoute]] = {}
         # Route name -> service -> current weight in the smooth weighted round robin.
         self.weights_: dict[str, dict[str, float]] = {}
@@ -33,6 +38,16 @@
         """Return the accepted version, or 0 if no configuration has been read."""
         return 0 if self.routes_ is None else self.routes_.version
 
+    @property
+    def required_version(self) -> int:
+        """Return the version by which other hosts must handle this host's calls."""
+        return max(self.version, self.shown_version_)
+
+    @property
+    def is_behind(self) -> bool:
+        """Tell whether this host lacks a version that others have shown for it."""
+        return self.version < self.shown_version_
+
     @property
     def limits(self) -> CallerLimits:
         """Return the limits for callers, or the defaults before the first version."""
--- a/jackdawsill/forwarding/_delegates.py
+++ b/jackdawsill/forwarding/_delegates.py
@@ -14,6 +14,7 @@
 
 from jackdawsill.core import Count, Effect, HostState
 from jackdawsill.forwarding._calls import Attempt, Call, CallTable, Part
+from jackdawsill.forwarding._catalog import RouteCatalog
 from jackdawsill.forwarding._effects import SendAttempt
 from jackdawsill.forwarding._model import ForwardRoute, ReplicaEntry
 from jackdawsill.forwarding._replica import LiveReplica
@@ -40,18 +41,29 @@
     address: str  # host:port for other hosts
     failure_domain: str
     is_wide: bool = True  # else it only runs calls of hosts cut off from replicas
+    # It declines calls of hosts with another version of the configuration. Hosts of
+    # older builds do not.
+    states_version: bool = False
 
 
 class DelegateTable:
     """Hold the known delegates, and the average answer size of a part per route."""
 
-    __slots__ = ("delegates_", "link_mbps", "own", "part_bytes_", "wide_")
+    __slots__ = (
+        "delegates_",
+        "link_mbps",
+        "own",
+        "part_bytes_",
+        "stating_version_",
+        "wide_",
+    )
 
     def __init__(self, link_mbps: float, offer: DelegateHost | None) -> None:
         self.link_mbps = link_mbps
         self.own = offer
         self.delegates_: dict[str, LiveReplica] = {}
         self.wide_: set[str] = set()  # delegates with wide links
+        self.stating_version_: set[str] = set()  # delegates not of older builds
         self.part_bytes_: dict[str, float] = {}
 
     @property
@@ -70,6 +82,7 @@
         known = self.delegates_
         self.delegates_ = {}
         self.wide_ = set()
+        self.stating_version_ = {host.name for host in hosts if host.states_version}
         for host in hosts:
             delegate = known.get(host.name)
             if host.is_wide:
@@ -110,7 +123,7 @@
         usable = [
             delegate
             for delegate in self.delegates_.values()
-            if delegate.entry.name in self.wide_
+            if delegate.entry.name in self.wide_ & self.stating_version_
             and delegate.entry.failure_domain == domain
             and not delegate.is_ejected(now)
         ]
@@ -127,7 +140,8 @@
     ) -> LiveReplica | None:
         """Return another host for any call, or None if none is available.
 
-        For a fan-out, hosts with wide links come first, then those in failure domain
+        Hosts of older builds come last, since they may have an older configuration. For
+        a fan-out, hosts with wide links come first, then those in failure domain
         `domain`, those with fewer calls before others.
         """
         own_name = "" if self.own is None else self.own.name
@@ -139,6 +153,7 @@
         return min(
             usable,
             key=lambda d: (
+                d.entry.name not in self.stating_version_,
                 is_fanout and d.entry.name not in self.wide_,
                 domain is not None and d.entry.failure_domain != domain,
                 d.in_flight,
@@ -151,7 +166,7 @@
 def send_to_delegate(
     state: HostState, call: Call, delegate: LiveReplica, now: float
 ) -> list[Effect]:
-    """Send a whole fan-out to a delegate, whose answer is passed to the caller."""
+    """Send a whole call to a delegate, whose answer is passed to the caller."""
     call.is_delegated = True
     call.may_have_run_before = call.may_have_run
     part = Part(call, delegate.entry.name)
@@ -175,5 +190,6 @@
             call.route.idempotent,
             N_DELEGATE_CONNECTIONS,
             is_delegated=True,
+            config_version=state.component(RouteCatalog).required_version,
         ),
     ]
--- a/jackdawsill/forwarding/_diversion.py
+++ b/jackdawsill/forwarding/_diversion.py
@@ -1,11 +1,17 @@
-"""Running calls through another host while this one is cut off from all replicas."""
+"""Running calls through another host while this one must not run them.
+
+It is cut off from all replicas, or has an older configuration than other hosts that ran
+its calls while it was.
+"""
 
 from jackdawsill.core import Effect, HostState, LogEvent
 from jackdawsill.forwarding import _errors as errors
 from jackdawsill.forwarding import _log_events as log_events
-from jackdawsill.forwarding._calls import Call
+from jackdawsill.forwarding._calls import Attempt, Call
+from jackdawsill.forwarding._catalog import RouteCatalog
 from jackdawsill.forwarding._delegates import DelegateTable, send_to_delegate
 from jackdawsill.forwarding._dispatch import call_timer
+from jackdawsill.forwarding._registry import ReplicaRegistry
 from jackdawsill.forwarding._replies import refuse
 
 # Hosts that one call may be sent to; those that are cut off too decline in one round
@@ -18,6 +24,38 @@
 RETRY_AFTER_CUT_S = 0.5
 
 
+def must_divert(state: HostState, call: Call) -> bool:
+    """Tell whether this host must not run a call itself.
+
+    A call of another host is run by the version that it states, whatever this host's
+    own callers were shown.
+    """
+    if state.component(ReplicaRegistry).reach.is_cut:
+        return True
+    return state.component(RouteCatalog).is_behind and not call.is_for_peer
+
+
+def follow_version(state: HostState, attempt: Attempt, version: int) -> list[Effect]:
+    """Let a delegate that declined for its later version run this host's calls.
+
+    Only if this host cannot run them itself. It then handles nothing by an older
+    version any more, also once it reaches replicas again.
+    """
+    catalog = state.component(RouteCatalog)
+    call = attempt.part.call
+    if version <= catalog.required_version or not must_divert(state, call):
+        return []
+    fields = {
+        "version": version,
+        "before": catalog.required_version,
+        "delegate": attempt.replica.entry.name,
+    }
+    catalog.shown_version_ = version
+    attempt.replica.forget_failures()
+    call.tried_hosts.discard(attempt.replica.entry.name)
+    return [LogEvent(log_events.VERSION_REQUIRED, fields)]
+
+
 def can_divert(call: Call) -> bool:
     """Tell whether a call may still run through another host."""
     return not (
@@ -40,7 +78,7 @@
     if delegate is None:
         seconds = RETRY_AFTER_CUT_S * (1.0 + state.rng.random())
         error = errors.HostCutOff(
-            f"this host and {len(tried)} others that were asked reach no replica",
+            f"neither this host nor {len(tried)} others can run the call now",
             retry_after_ms=int(1000 * seconds),
         )
         return refuse(state, call, now, error)
--- a/jackdawsill/forwarding/_effects.py
+++ b/jackdawsill/forwarding/_effects.py
@@ -22,6 +22,7 @@
     idempotent: bool
     n_connections_max: int  # this host's share of the replica's connection limit
     is_delegated: bool = False  # to a delegate; the caller gets its answer unchanged
+    config_version: int = 0  # by which a delegate must handle the call
 
 
 class WarmReplicas(Effect):
--- a/jackdawsill/forwarding/_errors.py
+++ b/jackdawsill/forwarding/_errors.py
@@ -55,9 +55,17 @@
 
 @register_error(2511, status=503)
 class DelegationDeclined(JackdawsillError):
-    """The host reaches no replica and does not run calls of other hosts."""
+    """The host does not run a call of another host.
+
+    It reaches no replica, or has another version of the configuration.
+    """
 
 
 @register_error(2512, status=503)
 class HostCutOff(JackdawsillError):
     """The host reaches neither replicas nor a host that does; the call was not run."""
+
+
+@register_error(2513, status=503)
+class ConfigurationBehind(JackdawsillError):
+    """The host has not read a version of the configuration that others run for it."""
--- a/jackdawsill/forwarding/_events.py
+++ b/jackdawsill/forwarding/_events.py
@@ -25,6 +25,9 @@
     call_id: int
     req: ForwardRequest
     is_delegated: bool = False  # by another host; it is not delegated again
+    # Version of the configuration by which a delegated call must be handled; None from
+    # a host of an older build, which does not state it.
+    config_version: int | None = None
 
 
 class ReplicaSpoke(Event):
@@ -72,6 +75,7 @@
     detail: str = ""
     limit_per_s: float | None = None  # rate that the replica takes from all hosts
     is_refused: bool = False  # no process listens at the address any more
+    delegate_version: int = 0  # of the configuration of a delegate that declined
 
 
 class RoutesRead(Event):
--- a/jackdawsill/forwarding/_log_events.py
+++ b/jackdawsill/forwarding/_log_events.py
@@ -157,7 +157,8 @@
     2520,
     "call_diverted",
     "call {request} goes through host {delegate}",
-    "This host is cut off from the replicas, so another one runs the call.",
+    "This host is cut off from the replicas, or has an older configuration than one "
+    "that was shown to its callers, so another one runs the call.",
 )
 REPLICA_HELD = register_log_event(
     2521,
@@ -190,3 +191,12 @@
     "A time over the bound counts as the bound, other values are ignored.",
     logbook.WARNING,
 )
+VERSION_REQUIRED = register_log_event(
+    2525,
+    "version_required",
+    "calls must be handled by configuration {version}, which {delegate} has",
+    "This host reaches no replica, and a host that runs its calls has a later "
+    "configuration. From now on nothing is handled by an older one; until this host "
+    "has read it, other hosts run all its calls.",
+    logbook.NOTICE,
+)
--- a/jackdawsill/gateway/_build.py
+++ b/jackdawsill/gateway/_build.py
@@ -58,7 +58,11 @@
     state.attach(GatewayLifecycle())
     state.attach(ConnectionWarmer())
     address = delegation_address(cfg)
-    offer = DelegateHost(host.name, address, host.failure_domain) if address else None
+    offer = None
+    if address:
+        offer = DelegateHost(
+            host.name, address, host.failure_domain, states_version=True
+        )
     state.attach(DelegateTable(host.link_mbps, offer))
     state.attach(DemandFeed())
     state.attach(
--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -54,12 +54,14 @@
 from jackdawsill.gateway._store import BaseStore
 from jackdawsill.http1 import (
     DELEGATION_DECLINED,
+    DELEGATION_VERSION,
     BaseHeaderCodec,
     CallServer,
     OnRequest,
     RawRequest,
     ReplicaClient,
     end_to_end_headers,
+    read_delegation_version,
 )
 from jackdawsill.relaying import FollowStore
 from jackdawsill.runtime import (
@@ -256,7 +258,8 @@
             self.driver.log(log_events.BAD_CALL, detail=str(exc)[:200])
             self._reply(call_id, 400)
             return
-        self.driver.feed(CallArrived(call_id, req, is_delegated))
+        version = read_delegation_version(tuple(raw.headers)) if is_delegated else None
+        self.driver.feed(CallArrived(call_id, req, is_delegated, version))
 
     def _on_caller_disconnected(self, call_id: int) -> None:
         self.driver.feed(CallAbandoned(call_id))
@@ -296,7 +299,12 @@
             seconds = f"{error.retry_after_ms / 1000:.3f}".encode()
             headers = ((b"Retry-After", seconds),)
         if isinstance(error, DelegationDeclined):
-            headers = (*headers, (DELEGATION_DECLINED, b"1"))
+            version = self.state.component(RouteCatalog).version
+            headers = (
+                *headers,
+                (DELEGATION_DECLINED, b"1"),
+                (DELEGATION_VERSION, b"%d" % version),
+            )
         text = f"{error}\n".encode()
         self._reply(effect.call_id, error.status, headers, text)
 
--- a/jackdawsill/http1/__init__.py
+++ b/jackdawsill/http1/__init__.py
@@ -3,9 +3,11 @@
 from jackdawsill.http1._client import ReplicaClient
 from jackdawsill.http1._header_codec import (
     DELEGATION_DECLINED,
+    DELEGATION_VERSION,
     BaseHeaderCodec,
     ResponseFailure,
     end_to_end_headers,
+    read_delegation_version,
 )
 from jackdawsill.http1._keep_alive_client import (
     ExchangeFailed,
@@ -18,6 +20,7 @@
 
 __all__ = [
     "DELEGATION_DECLINED",
+    "DELEGATION_VERSION",
     "BaseHeaderCodec",
     "CallServer",
     "ExchangeFailed",
@@ -31,4 +34,5 @@
     "encode_reply",
     "encode_request",
     "end_to_end_headers",
+    "read_delegation_version",
 ]
--- a/jackdawsill/http1/_connection.py
+++ b/jackdawsill/http1/_connection.py
@@ -14,7 +14,11 @@
     SendAttempt,
 )
 from jackdawsill.http1._bounds import ResponseMeter
-from jackdawsill.http1._header_codec import DELEGATION_DECLINED, ResponseFailure
+from jackdawsill.http1._header_codec import (
+    DELEGATION_DECLINED,
+    ResponseFailure,
+    read_delegation_version,
+)
 from jackdawsill.http1._sockets import enable_tcp_keepalive
 
 if TYPE_CHECKING:
@@ -192,7 +196,8 @@
         if attempt.is_delegated:
             result = ReplicaAnswer(self.status, headers, body)
             if any(name.lower() == DELEGATION_DECLINED for name, _ in headers):
-                result = ResponseFailure(FailureKind.DECLINED)
+                version = read_delegation_version(headers) or 0
+                result = ResponseFailure(FailureKind.DECLINED, delegate_version=version)
         else:
             header_codec = self.pool.client.header_codec
             result = header_codec.read_response(self.status, headers, body)
@@ -205,7 +210,11 @@
         self.must_close = self.must_close or closes or unsent
         if isinstance(result, ResponseFailure):
             outcome = AttemptFailed(
-                attempt.attempt_id, result.kind, result.detail, result.limit_per_s
+                attempt.attempt_id,
+                result.kind,
+                result.detail,
+                result.limit_per_s,
+                delegate_version=result.delegate_version,
             )
             if result.kind is FailureKind.BAD_ANSWER:
                 self.must_close = True
--- a/jackdawsill/http1/_header_codec.py
+++ b/jackdawsill/http1/_header_codec.py
@@ -15,6 +15,9 @@
 
 # Set by a host that has not run a call that another one delegated to it.
 DELEGATION_DECLINED = b"delegation-declined"
+# In a delegated call, the version of the configuration by which it must be handled. In
+# the reply of a host that has not run it, that host's version.
+DELEGATION_VERSION = b"delegation-version"
 # Headers that are not forwarded: those of one connection only (RFC 9110, 7.6.1) and
 # those for the framing of the body, which each connection sets for itself.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -22,6 +25,7 @@
         b"connection",
         b"content-length",
         DELEGATION_DECLINED,
+        DELEGATION_VERSION,
         b"expect",
         b"keep-alive",
         b"proxy-authenticate",
@@ -41,6 +45,7 @@
     kind: FailureKind
     detail: str = ""
     limit_per_s: float | None = None  # rate that the replica takes from all hosts
+    delegate_version: int = 0  # of the configuration of a delegate that declined
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
@@ -59,6 +64,14 @@
     )
 
 
+def read_delegation_version(headers: Headers) -> int | None:
+    """Return the version in a delegated call or its reply, None without a valid one."""
+    for name, value in headers:
+        if name.lower() == DELEGATION_VERSION:
+            return int(value) if value.isdigit() else None
+    return None
+
+
 class BaseHeaderCodec:
     """Translate a platform's HTTP headers to typed fields and back."""
 
--- a/jackdawsill/http1/_pool.py
+++ b/jackdawsill/http1/_pool.py
@@ -7,7 +7,7 @@
 from jackdawsill.core import FailureKind
 from jackdawsill.forwarding import AttemptFailed, SendAttempt
 from jackdawsill.http1._connection import ReplicaConnection
-from jackdawsill.http1._header_codec import BaseHeaderCodec
+from jackdawsill.http1._header_codec import DELEGATION_VERSION, BaseHeaderCodec
 
 if TYPE_CHECKING:
     from jackdawsill.http1._client import ReplicaClient
@@ -206,6 +206,8 @@
     lines = [req.method + b" " + req.target + b" HTTP/1.1"]
     for name, value in header_codec.attempt_headers(attempt, remaining_s):
         lines.append(name + b": " + value)
+    if attempt.is_delegated:
+        lines.append(DELEGATION_VERSION + b": %d" % attempt.config_version)
     if req.body or req.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
         lines.append(b"Content-Length: %d" % len(req.body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + req.body
