Tell other hosts of a configuration before the position that follows it

Callers could see: a host that refuses an added route with 404 until the next version, or until it reaches a relay again.

Cause: when one answer of the store holds a configuration and changes of replicas, the follower fed the replicas first. A relay thus sent their position in a message before the one with the routes. A host that lost the link between the two knew the position, and, if it then followed the store itself, watched for changes after it: the configuration lies before. Only a relay's heartbeat, which states the version, brought it.

Change: the routes are fed first.

Test, failing before: test_lost_link_between_two_messages of test_follower.py.

--- a/jackdawsill/gateway/_follower.py
+++ b/jackdawsill/gateway/_follower.py
@@ -146,6 +146,10 @@
         # result only the old position is confirmed: a store that delays changes may
         # state a newer revision, and a watch from there would skip them.
         self.feed(StoreConfirmed(base))
+        # Before the replicas, with which their position is passed on. A host that knows
+        # only the position would look for later changes of the configuration.
+        if changes.routes is not None:
+            self.feed(RoutesRead(changes.routes, STORE))
         is_old = is_overtaken(changes.position, base, self.known_position())
         if (changes.written or changes.removed) and not is_old:
             self.feed(
@@ -153,8 +157,6 @@
                     changes.written, changes.removed, changes.position, STORE, base
                 )
             )
-        if changes.routes is not None:
-            self.feed(RoutesRead(changes.routes, STORE))
         if changes.is_empty:
             return
         self.feed(StoreConfirmed(changes.position))
--- a/jackdawsill/gateway/tests/test_follower.py
+++ b/jackdawsill/gateway/tests/test_follower.py
@@ -107,6 +107,28 @@
                 self.assertEqual(set(ages), {0.0})
 
 
+class TestOrderOfUpdates(_FollowerCase):
+    """A host that has heard of a position has heard of its configuration."""
+
+    async def test_lost_link_between_two_messages(self):
+        """Guards against a host that never learns of a configuration.
+
+        It watches the store from the position that it has heard of, which follows the
+        configuration, if the relay ends between its two messages.
+        """
+        await self.follower._read_all()
+        self.feed(PeerMessageRead(1, NewsWanted(0, 0, era=0)))
+        self.sent.clear()
+        await self.follower._watch_once()
+        changes = [m for m in self.sent if isinstance(m, NewsChange)]
+        versions = [m.routes.version for m in changes if m.routes is not None]
+        self.assertEqual(versions, [5])
+        reached = [m.revision >= 8 for m in changes]
+        has_routes = [m.routes is not None for m in changes]
+        self.assertIn(True, reached)
+        self.assertLessEqual(has_routes.index(True), reached.index(True))
+
+
 class _LateAnswerCase(_FollowerCase):
     """An answer of the store that is read after other hosts have told of more."""
 
