Reply to HEAD requests without a body

Cause: encode_reply wrote the body of each reply, whatever the method of its request, and the length 0 for an answer to HEAD whose length is not known. The stray bytes are the host's own refusal; toward replicas HEAD is provided for.

Change: the connection keeps whether the request in progress is HEAD, and no reply to it has a body; nor has one with status 204 or 304.

--- a/jackdawsill/http1/_server.py
+++ b/jackdawsill/http1/_server.py
@@ -63,6 +63,7 @@
         "head_started_at",
         "idle_since",
         "idle_timeout_s",
+        "is_head",
         "keep_alive",
         "n_head_bytes",
         "parser",
@@ -81,6 +82,7 @@
         self.pipelined_requests: deque[RawRequest] = deque()
         self.active_call_id = 0  # 0 if no request waits for its reply
         self.keep_alive = True
+        self.is_head = False  # the request in progress
         self.closing = False
         self.rejected = False
         self.head_started_at: float | None = None
@@ -202,7 +204,10 @@
         keep_alive = self.keep_alive and not close and not self.rejected
         if self.transport.is_closing():
             return
-        self.transport.write(encode_reply(status, headers, body, keep_alive=keep_alive))
+        reply = encode_reply(
+            status, headers, body, keep_alive=keep_alive, is_head=self.is_head
+        )
+        self.transport.write(reply)
         if not keep_alive:
             self.transport.close()
             return
@@ -237,6 +242,7 @@
 
     def _dispatch(self, req: RawRequest) -> None:
         self.keep_alive = req.keep_alive
+        self.is_head = req.method == b"HEAD"
         self.active_call_id = self.server.dispatch(self, req)
 
     def _mark_idle(self) -> None:
@@ -340,14 +346,25 @@
 
 
 def encode_reply(
-    status: int, headers: Headers, body: bytes, *, keep_alive: bool
+    status: int,
+    headers: Headers,
+    body: bytes,
+    *,
+    keep_alive: bool,
+    is_head: bool = False,
 ) -> bytes:
-    """Return the bytes of a reply, with Content-Length where it is allowed."""
+    """Return the bytes of a reply, with Content-Length where it is allowed.
+
+    The reply to a HEAD request has no body, and states the length only of one that was
+    left out here: what a replica would have sent is not known.
+    """
+    has_no_body = status in (204, 304)
     reason = REASON_PHRASES.get(status, b"Status")
     lines = [b"HTTP/1.1 %d %s" % (status, reason)]
     lines += [name + b": " + value for name, value in headers]
-    if status not in (204, 304):
+    if not has_no_body and (body or not is_head):
         lines.append(b"Content-Length: %d" % len(body))
     if not keep_alive:
         lines.append(b"Connection: close")
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    return head if has_no_body or is_head else head + body
--- a/jackdawsill/http1/tests/test_server.py
+++ b/jackdawsill/http1/tests/test_server.py
@@ -165,3 +165,44 @@
                 self.assertEqual(caller.rejected, [status])
                 self.assertEqual(caller.requests, [])
                 self.assertTrue(caller.transport.closed)
+
+
+class TestRepliesWithoutBody(unittest.TestCase):
+    """The reply to a HEAD request ends with its head."""
+
+    def test_head(self):
+        """Guards against a body that the caller reads as its next reply."""
+        for head, others in (b"HEAD", b"GET"), (b"GET", b"HEAD"):
+            with self.subTest(first=head):
+                caller = _FakeCaller()
+                for method in head, others:
+                    caller.feed(method + b" /x HTTP/1.1\r\nHost: a\r\n\r\n")
+                heads = caller.transport.written.split(b"\r\n\r\n")
+                bodies = [b"", b"reply-2;"] if head == b"HEAD" else [b"reply-1;", b""]
+                self.assertEqual(heads[1].partition(b"HTTP/1.1")[0], bodies[0])
+                self.assertEqual(heads[2], bodies[1])
+
+    def test_pipelined_head(self):
+        """Guards against the method of another request on the connection."""
+        caller = _FakeCaller(replies_at_once=False)
+        caller.feed(b"HEAD /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+        caller.server.reply(1, 503, (), b"refused")
+        self.assertNotIn(b"refused", caller.transport.written)
+        self.assertIn(b"Content-Length: 7", caller.transport.written)
+        caller.server.reply(2, 503, (), b"refused")
+        self.assertTrue(caller.transport.written.endswith(b"refused"))
+
+    def test_length_of_an_answer(self):
+        """Guards against a length of 0 that a replica did not state."""
+        caller = _FakeCaller(replies_at_once=False)
+        caller.feed(b"HEAD /1 HTTP/1.1\r\n\r\n")
+        caller.server.reply(1, 200, ((b"Server", b"x"),), b"")
+        self.assertNotIn(b"Content-Length", caller.transport.written)
+
+    def test_status_without_body(self):
+        """Guards against a body after a status that has none."""
+        for status in 204, 304:
+            caller = _FakeCaller(replies_at_once=False)
+            caller.feed(b"GET /1 HTTP/1.1\r\n\r\n")
+            caller.server.reply(1, status, (), b"text")
+            self.assertTrue(caller.transport.written.endswith(b"\r\n\r\n"))
