Send no second reply to a request with Upgrade

Callers saw: nothing reported; read by the review. A request with `Upgrade` that was replied to at once got a second reply, 400, to no request, before the connection was closed.

Cause: the parser reports an upgrade after the request is complete and dispatched; the connection then rejected what it took for a malformed request.

Change: the request keeps its reply, nothing after it is read, and the connection is closed once it is sent.

Test, failing before: TestUpgradeRequests (test_replied_at_once).

--- a/jackdawsill/http1/_server.py
+++ b/jackdawsill/http1/_server.py
@@ -121,7 +121,11 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self.reject(400)
+            # The request has been dispatched and gets its reply; what follows it is of
+            # a protocol that is not offered.
+            self.rejected = True
+            if not self.active_call_id:
+                self.transport.close()
             return
         except httptools.HttpParserError:
             self.reject(400)
--- a/jackdawsill/http1/tests/test_server.py
+++ b/jackdawsill/http1/tests/test_server.py
@@ -206,3 +206,30 @@
             caller.feed(b"GET /1 HTTP/1.1\r\n\r\n")
             caller.server.reply(1, status, (), b"text")
             self.assertTrue(caller.transport.written.endswith(b"\r\n\r\n"))
+
+
+class TestUpgradeRequests(unittest.TestCase):
+    """A request that asks for another protocol gets one reply, and a close."""
+
+    REQUEST = (
+        b"GET /1 HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+    )
+
+    def test_replied_at_once(self):
+        """Guards against a second reply, to no request."""
+        caller = _FakeCaller()
+        caller.feed(self.REQUEST)
+        self.assertEqual(caller.transport.written.count(b"HTTP/1.1 "), 1)
+        self.assertIn(b"HTTP/1.1 200 ", caller.transport.written)
+        self.assertTrue(caller.transport.closed)
+
+    def test_replied_later(self):
+        """Guards against bytes of another protocol that are read as requests."""
+        caller = _FakeCaller(replies_at_once=False)
+        caller.feed(self.REQUEST + b"GET /2 HTTP/1.1\r\n\r\n")
+        self.assertFalse(caller.transport.closed)
+        caller.server.reply(1, 200, (), b"")
+        self.assertEqual(caller.transport.written.count(b"HTTP/1.1 "), 1)
+        self.assertIn(b"Connection: close", caller.transport.written)
+        self.assertTrue(caller.transport.closed)
+        self.assertEqual(len(caller.requests), 1)
