--- a/jackdawsill/forwarding/__init__.py
+++ b/jackdawsill/forwarding/__init__.py
@@ -82,6 +82,7 @@
 from jackdawsill.forwarding._registry import ReplicaRegistry
 from jackdawsill.forwarding._replica import LiveReplica
 from jackdawsill.forwarding._replies import CALL_SECONDS, greatest_records
+from jackdawsill.forwarding._route_bounds import check_routes
 from jackdawsill.forwarding._signals import (
     NO_SIGNALS,
     ReplicaSignals,
@@ -159,6 +160,7 @@
     "WithdrawUnsent",
     "add_demands",
     "check_entry",
+    "check_routes",
     "greatest_records",
     "is_overtaken",
     "read_signals",
