Pass on calls of a cut host with the attempts that are left

Cause: a host that finds that it reaches no replica aborts the attempts of its idempotent calls and sends the calls to other hosts. Neither host took those attempts into account: can_divert did not ask for them, the request did not state them, and a call that came back from a delegate began anew as well.

Change: a call counts the attempts of a part that may have run, over all hosts. It is passed on only if some are left, with their number, and the delegate goes on from there. Hosts of older builds do not look at it and get no such call.

--- a/jackdawsill/forwarding/_admit.py
+++ b/jackdawsill/forwarding/_admit.py
@@ -66,6 +66,7 @@
         error = errors.Condemned("the request crashed the replicas that ran it")
         return refuse(state, call, now, error)
     call.is_for_peer = event.is_delegated
+    call.n_attempts_before = event.n_attempts_before
     if must_divert(state, call) and now < call.deadline_at:
         return _admit_elsewhere(state, call, now)
     refusal = _check_servable(state, call, now)
--- a/jackdawsill/forwarding/_calls.py
+++ b/jackdawsill/forwarding/_calls.py
@@ -75,6 +75,9 @@
     # The part that runs before the others, since the request may crash replicas.
     probe: Part | None = None
     may_have_run_before: bool = False  # on this host, before a delegate got it
+    # Attempts of a part that may have run before the present parts, here or on the host
+    # that delegated the call.
+    n_attempts_before: int = 0
     is_ended: bool = False  # answered, refused or abandoned
     is_delegated: bool = False  # a delegate runs the call, as its only part
     is_for_peer: bool = False  # another host delegated the call to this one
@@ -86,6 +89,12 @@
         """Tell whether any replica may have run a part of the call."""
         return self.may_have_run_before or any(p.n_maybe_run for p in self.parts)
 
+    @property
+    def n_attempts_used(self) -> int:
+        """Return the most attempts of a part that may have run, on all hosts."""
+        used = max((p.n_maybe_run for p in self.parts), default=0)
+        return self.n_attempts_before + used
+
     @property
     def n_answered(self) -> int:
         """Return the number of parts with an answer."""
--- a/jackdawsill/forwarding/_delegates.py
+++ b/jackdawsill/forwarding/_delegates.py
@@ -41,20 +41,20 @@
     address: str  # host:port for other hosts
     failure_domain: str
     is_wide: bool = True  # else it only runs calls of hosts cut off from replicas
-    # It declines calls of hosts with another version of the configuration. Hosts of
-    # older builds do not.
-    states_version: bool = False
+    # It keeps to what a delegated call states: the version of the configuration and the
+    # attempts that are left. Hosts of older builds do not.
+    checks_terms: bool = False
 
 
 class DelegateTable:
     """Hold the known delegates, and the average answer size of a part per route."""
 
     __slots__ = (
+        "checking_terms_",
         "delegates_",
         "link_mbps",
         "own",
         "part_bytes_",
-        "stating_version_",
         "wide_",
     )
 
@@ -63,7 +63,7 @@
         self.own = offer
         self.delegates_: dict[str, LiveReplica] = {}
         self.wide_: set[str] = set()  # delegates with wide links
-        self.stating_version_: set[str] = set()  # delegates not of older builds
+        self.checking_terms_: set[str] = set()  # delegates not of older builds
         self.part_bytes_: dict[str, float] = {}
 
     @property
@@ -82,7 +82,7 @@
         known = self.delegates_
         self.delegates_ = {}
         self.wide_ = set()
-        self.stating_version_ = {host.name for host in hosts if host.states_version}
+        self.checking_terms_ = {host.name for host in hosts if host.checks_terms}
         for host in hosts:
             delegate = known.get(host.name)
             if host.is_wide:
@@ -123,7 +123,7 @@
         usable = [
             delegate
             for delegate in self.delegates_.values()
-            if delegate.entry.name in self.wide_ & self.stating_version_
+            if delegate.entry.name in self.wide_ & self.checking_terms_
             and delegate.entry.failure_domain == domain
             and not delegate.is_ejected(now)
         ]
@@ -137,23 +137,28 @@
         rng: random.Random,
         *,
         is_fanout: bool = False,
+        is_new: bool = True,
     ) -> LiveReplica | None:
         """Return another host for any call, or None if none is available.
 
-        Hosts of older builds come last, since they may have an older configuration. For
-        a fan-out, hosts with wide links come first, then those in failure domain
+        Hosts of older builds come last, since they may have an older configuration, and
+        get no call that is not new: they would use all of its attempts again. For a
+        fan-out, hosts with wide links come first, then those in failure domain
         `domain`, those with fewer calls before others.
         """
         own_name = "" if self.own is None else self.own.name
         usable = [
             delegate
             for name, delegate in self.delegates_.items()
-            if name != own_name and name not in exclude and not delegate.is_ejected(now)
+            if name != own_name
+            and name not in exclude
+            and not delegate.is_ejected(now)
+            and (is_new or name in self.checking_terms_)
         ]
         return min(
             usable,
             key=lambda d: (
-                d.entry.name not in self.stating_version_,
+                d.entry.name not in self.checking_terms_,
                 is_fanout and d.entry.name not in self.wide_,
                 domain is not None and d.entry.failure_domain != domain,
                 d.in_flight,
@@ -169,6 +174,7 @@
     """Send a whole call to a delegate, whose answer is passed to the caller."""
     call.is_delegated = True
     call.may_have_run_before = call.may_have_run
+    call.n_attempts_before = call.n_attempts_used
     part = Part(call, delegate.entry.name)
     call.parts = [part]
     # Typical latency and round-trip time are not evaluated for a delegate.
@@ -191,5 +197,6 @@
             N_DELEGATE_CONNECTIONS,
             is_delegated=True,
             config_version=state.component(RouteCatalog).required_version,
+            n_attempts_before=call.n_attempts_before,
         ),
     ]
--- a/jackdawsill/forwarding/_dispatch.py
+++ b/jackdawsill/forwarding/_dispatch.py
@@ -45,6 +45,7 @@
 def may_send_more(part: Part) -> bool:
     """Tell whether the route allows one more attempt of the part."""
     n_may_have_run = part.n_maybe_run + len(part.attempts)
+    n_may_have_run += part.call.n_attempts_before
     return (
         n_may_have_run < part.call.route.n_attempts_max
         and part.n_not_run <= N_NOT_RUN_MAX
--- a/jackdawsill/forwarding/_diversion.py
+++ b/jackdawsill/forwarding/_diversion.py
@@ -57,8 +57,13 @@
 
 
 def can_divert(call: Call) -> bool:
-    """Tell whether a call may still run through another host."""
-    return not (
+    """Tell whether a call may still run through another host.
+
+    Its running attempts count as such that may have run.
+    """
+    n_running = max((len(part.attempts) for part in call.parts), default=0)
+    has_attempts_left = call.n_attempts_used + n_running < call.route.n_attempts_max
+    return has_attempts_left and not (
         call.is_ended or call.is_delegated or call.is_for_peer or call.n_answered
     )
 
@@ -74,6 +79,7 @@
             now,
             state.rng,
             is_fanout=call.route.is_fanout,
+            is_new=not call.n_attempts_used,
         )
     if delegate is None:
         seconds = RETRY_AFTER_CUT_S * (1.0 + state.rng.random())
--- a/jackdawsill/forwarding/_effects.py
+++ b/jackdawsill/forwarding/_effects.py
@@ -23,6 +23,7 @@
     n_connections_max: int  # this host's share of the replica's connection limit
     is_delegated: bool = False  # to a delegate; the caller gets its answer unchanged
     config_version: int = 0  # by which a delegate must handle the call
+    n_attempts_before: int = 0  # of its parts that may have run, if it is delegated
 
 
 class WarmReplicas(Effect):
--- a/jackdawsill/forwarding/_events.py
+++ b/jackdawsill/forwarding/_events.py
@@ -28,6 +28,7 @@
     # Version of the configuration by which a delegated call must be handled; None from
     # a host of an older build, which does not state it.
     config_version: int | None = None
+    n_attempts_before: int = 0  # of a delegated call's parts that may have run
 
 
 class ReplicaSpoke(Event):
--- a/jackdawsill/forwarding/tests/test_delegate_versions.py
+++ b/jackdawsill/forwarding/tests/test_delegate_versions.py
@@ -27,7 +27,7 @@
 
 VERSION = 7  # of the model's configuration
 HOSTS = tuple(
-    DelegateHost(f"host-{i}", f"10.0.{i}.9:7741", "near", states_version=True)
+    DelegateHost(f"host-{i}", f"10.0.{i}.9:7741", "near", checks_terms=True)
     for i in range(2)
 )
 
--- a/jackdawsill/forwarding/tests/test_delegates.py
+++ b/jackdawsill/forwarding/tests/test_delegates.py
@@ -19,8 +19,8 @@
     single_route,
 )
 
-WIDE = DelegateHost("wide", "10.0.0.9:7741", "near", states_version=True)
-FAR = DelegateHost("elsewhere", "10.3.0.9:7741", "far", states_version=True)
+WIDE = DelegateHost("wide", "10.0.0.9:7741", "near", checks_terms=True)
+FAR = DelegateHost("elsewhere", "10.3.0.9:7741", "far", checks_terms=True)
 
 
 class TestDelegates(unittest.TestCase):
--- a/jackdawsill/gateway/_build.py
+++ b/jackdawsill/gateway/_build.py
@@ -60,9 +60,7 @@
     address = delegation_address(cfg)
     offer = None
     if address:
-        offer = DelegateHost(
-            host.name, address, host.failure_domain, states_version=True
-        )
+        offer = DelegateHost(host.name, address, host.failure_domain, checks_terms=True)
     state.attach(DelegateTable(host.link_mbps, offer))
     state.attach(DemandFeed())
     state.attach(
--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -53,6 +53,7 @@
 from jackdawsill.gateway._settings import GatewaySettings
 from jackdawsill.gateway._store import BaseStore
 from jackdawsill.http1 import (
+    DELEGATION_ATTEMPTS,
     DELEGATION_DECLINED,
     DELEGATION_VERSION,
     BaseHeaderCodec,
@@ -61,7 +62,7 @@
     RawRequest,
     ReplicaClient,
     end_to_end_headers,
-    read_delegation_version,
+    read_number,
 )
 from jackdawsill.relaying import FollowStore
 from jackdawsill.runtime import (
@@ -258,8 +259,13 @@
             self.driver.log(log_events.BAD_CALL, detail=str(exc)[:200])
             self._reply(call_id, 400)
             return
-        version = read_delegation_version(tuple(raw.headers)) if is_delegated else None
-        self.driver.feed(CallArrived(call_id, req, is_delegated, version))
+        if not is_delegated:
+            self.driver.feed(CallArrived(call_id, req))
+            return
+        headers = tuple(raw.headers)
+        version = read_number(headers, DELEGATION_VERSION)
+        n_attempts = read_number(headers, DELEGATION_ATTEMPTS) or 0
+        self.driver.feed(CallArrived(call_id, req, True, version, n_attempts))
 
     def _on_caller_disconnected(self, call_id: int) -> None:
         self.driver.feed(CallAbandoned(call_id))
--- a/jackdawsill/http1/__init__.py
+++ b/jackdawsill/http1/__init__.py
@@ -2,12 +2,13 @@
 
 from jackdawsill.http1._client import ReplicaClient
 from jackdawsill.http1._header_codec import (
+    DELEGATION_ATTEMPTS,
     DELEGATION_DECLINED,
     DELEGATION_VERSION,
     BaseHeaderCodec,
     ResponseFailure,
     end_to_end_headers,
-    read_delegation_version,
+    read_number,
 )
 from jackdawsill.http1._keep_alive_client import (
     ExchangeFailed,
@@ -19,6 +20,7 @@
 from jackdawsill.http1._sockets import enable_tcp_keepalive
 
 __all__ = [
+    "DELEGATION_ATTEMPTS",
     "DELEGATION_DECLINED",
     "DELEGATION_VERSION",
     "BaseHeaderCodec",
@@ -34,5 +36,5 @@
     "encode_reply",
     "encode_request",
     "end_to_end_headers",
-    "read_delegation_version",
+    "read_number",
 ]
--- a/jackdawsill/http1/_connection.py
+++ b/jackdawsill/http1/_connection.py
@@ -16,8 +16,9 @@
 from jackdawsill.http1._bounds import ResponseMeter
 from jackdawsill.http1._header_codec import (
     DELEGATION_DECLINED,
+    DELEGATION_VERSION,
     ResponseFailure,
-    read_delegation_version,
+    read_number,
 )
 from jackdawsill.http1._sockets import enable_tcp_keepalive
 
@@ -196,7 +197,7 @@
         if attempt.is_delegated:
             result = ReplicaAnswer(self.status, headers, body)
             if any(name.lower() == DELEGATION_DECLINED for name, _ in headers):
-                version = read_delegation_version(headers) or 0
+                version = read_number(headers, DELEGATION_VERSION) or 0
                 result = ResponseFailure(FailureKind.DECLINED, delegate_version=version)
         else:
             header_codec = self.pool.client.header_codec
--- a/jackdawsill/http1/_header_codec.py
+++ b/jackdawsill/http1/_header_codec.py
@@ -18,12 +18,15 @@
 # In a delegated call, the version of the configuration by which it must be handled. In
 # the reply of a host that has not run it, that host's version.
 DELEGATION_VERSION = b"delegation-version"
+# In a delegated call, the attempts that may have run before.
+DELEGATION_ATTEMPTS = b"delegation-attempts"
 # Headers that are not forwarded: those of one connection only (RFC 9110, 7.6.1) and
 # those for the framing of the body, which each connection sets for itself.
 HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
         b"content-length",
+        DELEGATION_ATTEMPTS,
         DELEGATION_DECLINED,
         DELEGATION_VERSION,
         b"expect",
@@ -64,10 +67,10 @@
     )
 
 
-def read_delegation_version(headers: Headers) -> int | None:
-    """Return the version in a delegated call or its reply, None without a valid one."""
+def read_number(headers: Headers, wanted_name: bytes) -> int | None:
+    """Return the number in a header of a delegated call, None without a valid one."""
     for name, value in headers:
-        if name.lower() == DELEGATION_VERSION:
+        if name.lower() == wanted_name:
             return int(value) if value.isdigit() else None
     return None
 
--- a/jackdawsill/http1/_pool.py
+++ b/jackdawsill/http1/_pool.py
@@ -7,7 +7,11 @@
 from jackdawsill.core import FailureKind
 from jackdawsill.forwarding import AttemptFailed, SendAttempt
 from jackdawsill.http1._connection import ReplicaConnection
-from jackdawsill.http1._header_codec import DELEGATION_VERSION, BaseHeaderCodec
+from jackdawsill.http1._header_codec import (
+    DELEGATION_ATTEMPTS,
+    DELEGATION_VERSION,
+    BaseHeaderCodec,
+)
 
 if TYPE_CHECKING:
     from jackdawsill.http1._client import ReplicaClient
@@ -208,6 +212,7 @@
         lines.append(name + b": " + value)
     if attempt.is_delegated:
         lines.append(DELEGATION_VERSION + b": %d" % attempt.config_version)
+        lines.append(DELEGATION_ATTEMPTS + b": %d" % attempt.n_attempts_before)
     if req.body or req.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
         lines.append(b"Content-Length: %d" % len(req.body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + req.body
