Take the position of a first list only with the list

Cause: _read_all of a started host confirmed the position of its answer before it judged whether other hosts had overtaken it. If a peer had sent an older list during the read, the confirmation lifted the known position to that of the answer, which then counted as overtaken and was dropped. The host passed the old list on at the new position, and others dropped the true changes.

Change: a first read confirms no position; the list brings it.

Test, failing before: test_first_list_that_is_later_than_a_peer_s (position 7 with the replica of 5).

--- a/jackdawsill/gateway/_follower.py
+++ b/jackdawsill/gateway/_follower.py
@@ -8,6 +8,7 @@
 from jackdawsill.core import Event
 from jackdawsill.forwarding import (
     STORE,
+    STORE_START,
     ReplicasChanged,
     ReplicasListed,
     RoutesRead,
@@ -123,8 +124,9 @@
         self._check_era(snapshot.position)
         self._on_answer()
         self.needs_full_read_ = False
-        # First, so that what a relay sends on is not stated to be old.
-        self.feed(StoreConfirmed(asked_from or snapshot.position))
+        # First, so that what a relay sends on is not stated to be old. The position of
+        # the answer comes with its list: a peer may have sent an older one meanwhile.
+        self.feed(StoreConfirmed(asked_from or STORE_START))
         if snapshot.routes is not None:
             self.feed(RoutesRead(snapshot.routes, STORE))
         if not is_overtaken(snapshot.position, asked_from, self.known_position()):
--- a/jackdawsill/gateway/tests/test_follower.py
+++ b/jackdawsill/gateway/tests/test_follower.py
@@ -173,6 +173,24 @@
         self.feed(listed)
         self.assertEqual(self.known, (StorePosition(2, 3), ["r1", "r3"]))
 
+    async def test_first_list_that_is_later_than_a_peer_s(self):
+        """Guards against a position without the replicas that were written before it.
+
+        A started host hears of an older list while it reads the store for the first
+        time. What it then lacks, it would pass on to all others as the newest list.
+        """
+        self.delay("read")
+        task = asyncio.create_task(self.follower._read_all())
+        await self.asked.wait()
+        self.feed(ReplicasListed((entry("r0"),), StorePosition(1, 5), PEER))
+        self.feed(PeerMessageRead(1, NewsWanted(0, 0, era=0)))
+        self.sent.clear()
+        self.answer.set()
+        await task
+        self.assertEqual(self.known, (StorePosition(1, 7), ["r1"]))
+        ages = {m.age_s for m in self.sent if isinstance(m, NewsSnapshot)}
+        self.assertEqual(ages, {0.0})
+
     async def test_changes_that_a_peer_has_overtaken(self):
         """Guards against a replica that is used again after its removal was known."""
         await self.follower._read_all()
