--- a/jackdawsill/http1/tests/test_connection.py
+++ b/jackdawsill/http1/tests/test_connection.py
@@ -12,11 +12,8 @@
 from jackdawsill.forwarding import (
     AttemptAnswered,
     AttemptFailed,
-    ForwardRequest,
-    SendAttempt,
 )
-from jackdawsill.http1._connection import ReplicaConnection
-from jackdawsill.http1.tests._fakes import FakeHeaderCodec
+from jackdawsill.http1.tests._fakes import FakePool
 
 # Hypothesis settings: 150 examples, the same in every run.
 SEARCH_SETTINGS = search(150)
@@ -27,74 +24,6 @@
 trailing_bytes = st.sampled_from((b"x", b"\r\n", EXTRA_RESPONSE, b"\x00" * 9))
 
 
-class _FakeTransport:
-    """Fake transport whose write buffer is always empty."""
-
-    def __init__(self) -> None:
-        self.closed = False
-
-    def write(self, data) -> None:
-        """Discard the bytes."""
-
-    def get_write_buffer_size(self) -> int:
-        """Return 0."""
-        return 0
-
-    def is_closing(self) -> bool:
-        """Return whether the connection was closed."""
-        return self.closed
-
-    def abort(self) -> None:
-        """Record the close."""
-        self.closed = True
-
-
-class _FakePool:
-    """Fake pool and client of one connection; records the events of ended attempts."""
-
-    def __init__(self) -> None:
-        self.client = self
-        self.header_codec = FakeHeaderCodec()
-        self.ends: list = []
-        self.n_held_bytes_ = 0
-        self.conn = ReplicaConnection(self)
-        self.conn.transport = _FakeTransport()
-
-    @property
-    def is_reusable(self) -> bool:
-        """Return whether another attempt may use the connection."""
-        return not self.conn.must_close and not self.conn.transport.closed
-
-    def send(self, number: int) -> None:
-        """Send an attempt; its number is also the request id."""
-        req = ForwardRequest(b"%d" % number, b"GET", b"/x", b"a.example")
-        attempt = SendAttempt(number, req, "i-1", "", "10.0.0.1:80", 9.0, True, 1)
-        self.conn.write(attempt, b"")
-
-    def feed(self, data: bytes) -> None:
-        """Receive bytes, unless the connection is closed."""
-        if data and not self.conn.transport.closed:
-            self.conn.data_received(data)
-
-    def hold(self, conn, n_bytes: int) -> None:
-        """Count the bytes of an unfinished response."""
-        conn.n_held_bytes += n_bytes
-        self.n_held_bytes_ += n_bytes
-
-    def discard(self, conn) -> None:
-        """Close the connection."""
-        conn.close()
-
-    def release(self, conn) -> None:
-        """Close the connection if it must not be reused."""
-        if conn.must_close:
-            conn.close()
-
-    def report_end(self, attempt, outcome) -> None:
-        """Record the end of an attempt."""
-        self.ends.append(outcome)
-
-
 def encode_response(number: int, body: bytes, *, chunked: bool = False) -> bytes:
     """Return the bytes of a response to the request with the number."""
     head = b"HTTP/1.1 200 OK\r\nId: %d\r\n" % number
@@ -125,7 +54,7 @@
         """Guards against parsing that depends on how TCP splits a response."""
 
         async def run():
-            pool = _FakePool()
+            pool = FakePool()
             for number in (1, 2):
                 pool.send(number)
                 for piece in split_at(
@@ -151,7 +80,7 @@
         """Guards against bytes after a response that are read as the next response."""
 
         async def run():
-            pool = _FakePool()
+            pool = FakePool()
             pool.send(1)
             first = encode_response(1, body)
             parts = (
@@ -184,7 +113,7 @@
         """
 
         async def run():
-            pool = _FakePool()
+            pool = FakePool()
             pool.send(1)
             pool.feed(encode_response(1, b"one"))
             await asyncio.sleep(0)
@@ -217,7 +146,7 @@
         """
 
         async def run():
-            pool = _FakePool()
+            pool = FakePool()
             pool.send(1)
             pool.feed(encode_response(1, b"one", chunked=True))
             await asyncio.sleep(0)
@@ -250,7 +179,7 @@
         """Guards against a trailer that changes what the response says."""
 
         async def run():
-            pool = _FakePool()
+            pool = FakePool()
             pool.send(1)
             own = encode_response(1, b"one", chunked=True)
             pool.feed(own[:-2] + b"Other: 1\r\n\r\n")
@@ -264,7 +193,7 @@
         """Guards against reuse of a connection whose responses cannot be identified."""
 
         async def run():
-            pool = _FakePool()
+            pool = FakePool()
             pool.send(1)
             pool.feed(UNIDENTIFIED_RESPONSE)
             await asyncio.sleep(0)
@@ -276,7 +205,7 @@
 
     def test_bytes_while_idle(self):
         """Guards against reuse of a connection that received unsolicited bytes."""
-        pool = _FakePool()
+        pool = FakePool()
         pool.feed(b"H")
         self.assertFalse(pool.is_reusable)
 
@@ -284,7 +213,7 @@
         """Guards against a request on a connection that the replica is closing."""
 
         async def run():
-            pool = _FakePool()
+            pool = FakePool()
             pool.send(1)
             head = b"HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n"
             pool.feed(head + b"Content-Length: 1\r\n\r\na")
@@ -305,7 +234,7 @@
         """Guards against accepting a truncated response."""
 
         async def run():
-            pool = _FakePool()
+            pool = FakePool()
             pool.send(1)
             whole = encode_response(1, body)
             for piece in split_at(whole[: n_received % len(whole)], cut_points):
@@ -334,7 +263,7 @@
 
     async def cut(self, before: bytes, number: int, head: bytes) -> object:
         """Return how an attempt ends whose response begins with `head` and no more."""
-        pool = _FakePool()
+        pool = FakePool()
         pool.send(number)
         pool.feed(before)
         await asyncio.sleep(0)
@@ -352,7 +281,7 @@
         """Guards against received bytes that end an attempt twice or raise."""
 
         async def run():
-            pool = _FakePool()
+            pool = FakePool()
             pool.send(1)
             for piece in split_at(data, cut_points):
                 pool.feed(piece)
@@ -375,7 +304,7 @@
         """
 
         async def run():
-            pool = _FakePool()
+            pool = FakePool()
             pool.send(1)
             pool.feed(b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody")
             if error is None:
@@ -395,66 +324,3 @@
         """Guards against accepting a response that a reset may have truncated."""
         (end,) = self.ends(ConnectionResetError())
         self.assertIsInstance(end, AttemptFailed)
-
-
-class TestLostConnections(unittest.TestCase):
-    """A connection lost before the response is complete is a possible crash."""
-
-    def end(self, before: list[bytes]) -> AttemptFailed:
-        """Return how the last attempt ends if its connection is lost.
-
-        `before` holds what is received first: the responses to earlier attempts, then
-        what precedes the response to the last one.
-        """
-
-        async def run():
-            pool = _FakePool()
-            *responses, extra = before
-            for number, response in enumerate(responses, 1):
-                pool.send(number)
-                pool.feed(response)
-                await asyncio.sleep(0)
-            pool.send(len(before))
-            pool.feed(extra)
-            pool.conn.eof_received()
-            pool.conn.connection_lost(None)
-            await asyncio.sleep(0)
-            return pool.ends
-
-        ends = asyncio.run(run())
-        self.assertEqual(len(ends), len(before))
-        return ends[-1]
-
-    def test_reused_connection(self):
-        """Guards against a crash on a reused connection that counts as a bad answer.
-
-        The state of the response before must not count as the beginning of this one.
-        """
-        chunked = encode_response(1, b"one", chunked=True)
-        refused = b"HTTP/1.1 503 No\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
-        for first in encode_response(1, b"one"), chunked, refused:
-            with self.subTest(first=first):
-                end = self.end([first, b""])
-                self.assertEqual(end.kind, FailureKind.CRASH)
-                self.assertEqual(end.detail, "connection closed")
-
-    def test_after_an_interim_response(self):
-        """Guards against a crash after a 1xx response that counts as a bad answer."""
-        end = self.end([INTERIM_RESPONSE])
-        self.assertEqual(end.kind, FailureKind.CRASH)
-        end = self.end([encode_response(1, b"one"), INTERIM_RESPONSE])
-        self.assertEqual(end.kind, FailureKind.CRASH)
-
-    def test_after_a_late_response(self):
-        """Guards against a crash after a foreign answer that counts as a bad answer."""
-        end = self.end([encode_response(1, b"one"), EXTRA_RESPONSE])
-        self.assertEqual(end.kind, FailureKind.CRASH)
-
-    def test_during_the_response(self):
-        """Guards against a crash in the middle of an answer that is no evidence."""
-        whole = encode_response(2, b"second")
-        for n_missing in 1, 3, len(b"second"):
-            with self.subTest(n_missing=n_missing):
-                end = self.end([encode_response(1, b"one"), whole[:-n_missing]])
-                self.assertEqual(end.kind, FailureKind.CRASH)
-                self.assertIn("during the response", end.detail)
