Tell all hosts of a limit that a replica states

Change: a host that learns by an answer that a limit began, changed or ended states this to its peers with its age; each forwards it only if it changes what it knows, and only if it is later by a margin than what it knows itself. Answers with an error status end no limit for others. A host that opens a link states the limits that it knows.

--- a/jackdawsill/forwarding/_attempt_handlers.py
+++ b/jackdawsill/forwarding/_attempt_handlers.py
@@ -33,6 +33,7 @@
     AttemptFailed,
     CallAbandoned,
 )
+from jackdawsill.forwarding._limit_handlers import take_limit
 from jackdawsill.forwarding._model import ReplicaAnswer
 from jackdawsill.forwarding._probing import (
     fail_held,
@@ -41,7 +42,6 @@
     release_held,
     should_probe,
 )
-from jackdawsill.forwarding._rate_share import update_share
 from jackdawsill.forwarding._reach_handlers import on_connect_failed
 from jackdawsill.forwarding._registry import ReplicaRegistry
 from jackdawsill.forwarding._replica import END_CONFIRM_S, LiveReplica
@@ -98,7 +98,13 @@
         return _on_delegated_answer(state, attempt, answer, now)
     state.component(ReplicaRegistry).reach.on_answer(now)
     return [
-        *_update_limit(state, attempt, answer.limit_per_s, now),
+        *_update_limit(
+            state,
+            attempt,
+            answer.limit_per_s,
+            now,
+            may_end_for_peers=answer.succeeded,
+        ),
         *on_replica_answer(state, attempt.replica, attempt.sent_at),
         *_use_answer(state, attempt, answer, now),
     ]
@@ -138,30 +144,22 @@
 
 
 def _update_limit(
-    state: HostState, attempt: Attempt, limit_per_s: float | None, now: float
+    state: HostState,
+    attempt: Attempt,
+    limit_per_s: float | None,
+    now: float,
+    *,
+    may_end_for_peers: bool,
 ) -> list[Effect]:
-    """Take over the limit that a replica states, or its end."""
-    replica = attempt.replica
-    before = replica.rate_share
-    limit_before = None if before is None else before.limit_per_s
-    shares = state.component(ReplicaRegistry).limit_shares
-    n_hosts = shares.divisor(replica.entry.service, now)
-    replica.rate_share = update_share(
-        before, limit_per_s, attempt.sent_at, n_hosts, now, state.rng
+    return take_limit(
+        state,
+        attempt.replica,
+        limit_per_s,
+        sent_at=attempt.sent_at,
+        request_id=attempt.part.call.req.request_id.decode("latin-1"),
+        may_end_for_peers=may_end_for_peers,
+        now=now,
     )
-    share = replica.rate_share
-    limit = None if share is None else share.limit_per_s
-    if limit == limit_before:
-        return []
-    fields = {
-        "replica": replica.entry.name,
-        "service": replica.entry.service,
-        "request": attempt.part.call.req.request_id.decode("latin-1"),
-        "limit_per_s": limit,
-        "before": limit_before,
-        "n_hosts": n_hosts,
-    }
-    return [LogEvent(log_events.LIMIT_CHANGED, fields)]
 
 
 def _on_delegated_answer(
@@ -188,7 +186,9 @@
     part, call, kind = attempt.part, attempt.part.call, event.kind
     effects = _update_replica(state, attempt, event, now)
     if event.limit_per_s is not None:
-        effects += _update_limit(state, attempt, event.limit_per_s, now)
+        effects += _update_limit(
+            state, attempt, event.limit_per_s, now, may_end_for_peers=False
+        )
     not_run = kind in NOT_RUN_KINDS
     if not_run:
         part.n_not_run += 1
--- a/jackdawsill/forwarding/_events.py
+++ b/jackdawsill/forwarding/_events.py
@@ -55,6 +55,24 @@
     incarnation: str
 
 
+class LimitReported(Event):
+    """A peer states the limit of a replica, `age_s` seconds old; None if it ended."""
+
+    replica: str
+    incarnation: str
+    limit_per_s: float | None
+    age_s: float
+
+
+class LimitRecorded(Event):
+    """This host has learned that the limit of a replica changed; None if it ended."""
+
+    replica: str
+    incarnation: str
+    limit_per_s: float | None
+    age_s: float
+
+
 class CallAbandoned(Event):
     """The caller closed its connection before the reply."""
 
--- a/jackdawsill/forwarding/_log_events.py
+++ b/jackdawsill/forwarding/_log_events.py
@@ -99,7 +99,8 @@
     "limit_changed",
     "replica {replica} takes {limit_per_s} requests a second, before {before}",
     "The replica stated how many requests it takes from all hosts together, or no "
-    "longer states a limit. This host takes one of `n_hosts` shares.",
+    "longer states a limit, in an answer to this host or, by `source`, to a peer. This "
+    "host takes one of `n_hosts` shares.",
     logbook.NOTICE,
 )
 HISTORY_LOST = register_log_event(
--- a/jackdawsill/forwarding/_replica.py
+++ b/jackdawsill/forwarding/_replica.py
@@ -81,6 +81,7 @@
     backoff_s: float = EJECT_MIN_S
     ejected_until: float = 0.0
     rate_share: RateShare | None = None  # while the replica states a limit
+    limit_known_at: float = -math.inf  # time of the latest statement, or of none
     held_until: float = 0.0  # end of the time that the replica asked this host for
     lapsed_at: float | None = None  # when its entry expired with the store unreachable
     # Requests that got no answer, since the last answer to another one.
--- a/jackdawsill/forwarding/tests/_search.py
+++ b/jackdawsill/forwarding/tests/_search.py
@@ -14,6 +14,7 @@
     Crash,
     CrashConfirmed,
     LeavingReported,
+    LimitReported,
     ReplicaAnswer,
     ReplicaConnected,
     ReplicaRegistry,
@@ -190,6 +191,16 @@
         """A peer reports a replica that leaves."""
         self.host.feed(LeavingReported(f"{service}-{domain}", ""))
 
+    @rule(
+        service=st.sampled_from(("docs", "s0")),
+        domain=st.sampled_from(DOMAINS),
+        limit_per_s=st.sampled_from((None, 0.0, 2.0, 20.0)),
+        age_s=st.sampled_from((0.0, 0.2, 3.0)),
+    )
+    def reports_limit(self, service, domain, limit_per_s, age_s):
+        """A peer reports the limit of a replica, or its end."""
+        self.host.feed(LimitReported(f"{service}-{domain}", "", limit_per_s, age_s))
+
     @rule(newer=st.booleans(), which=st.sampled_from((0, 1)))
     def configure(self, newer, which):
         """A configuration is read; it may be older than the accepted one."""
--- a/jackdawsill/forwarding/tests/test_limits.py
+++ b/jackdawsill/forwarding/tests/test_limits.py
@@ -5,11 +5,13 @@
 
 import msgspec
 
-from jackdawsill.core import FailureKind
+from jackdawsill.core import EmitEvent, FailureKind
 from jackdawsill.forwarding import (
     AttemptAnswered,
     AttemptFailed,
     FleetSize,
+    LimitRecorded,
+    LimitReported,
     PassAnswer,
     ReplicaRegistry,
     ReplicasChanged,
@@ -17,6 +19,7 @@
 )
 from jackdawsill.forwarding._errors import AttemptsFailed, RateLimited
 from jackdawsill.forwarding._fleet import COUNT_MARGIN
+from jackdawsill.forwarding._limit_handlers import take_limit
 from jackdawsill.forwarding._rate_share import RateShare
 from jackdawsill.forwarding.tests._gateway_model import (
     GatewayModel,
@@ -93,6 +96,41 @@
         share = self.registry.replicas_[send.replica].rate_share
         self.assertEqual(share.limit_per_s, LOW_LIMIT_PER_S)
 
+    def test_peers_are_told(self):
+        """Guards against hosts that each exceed a limit by a first attempt."""
+        replica = self.registry.replicas_["docs-near"]
+
+        def reported(limit_per_s, **kwargs):
+            """Return the limits that peers are told of after an answer."""
+            self.host.now += 1.0
+            now = self.host.now
+            effects = take_limit(
+                self.host.state,
+                replica,
+                limit_per_s,
+                sent_at=now,
+                request_id="r1",
+                now=now,
+                **kwargs,
+            )
+            events = [e.event for e in effects if isinstance(e, EmitEvent)]
+            return [e.limit_per_s for e in events if isinstance(e, LimitRecorded)]
+
+        self.assertEqual(reported(5.0, may_end_for_peers=True), [5.0])
+        self.assertEqual(reported(5.0, may_end_for_peers=True), [])
+        # An error status without a limit is no evidence for the other hosts.
+        self.assertEqual(reported(None, may_end_for_peers=False), [])
+        self.assertEqual(reported(5.0, may_end_for_peers=False), [5.0])
+        self.assertEqual(reported(None, may_end_for_peers=True), [None])
+
+    def test_limit_known_from_a_peer(self):
+        """Guards against an attempt beyond a limit that only peers have been told."""
+        for name in ("docs-near", "docs-far"):
+            self.host.feed(LimitReported(name, "", LOW_LIMIT_PER_S, 0.0))
+        self.host.call(b"/fetch/1", call_id=1)
+        self.assertEqual(self.host.sent, [])
+        self.assertIsInstance(self.host.replies[-1].error, RateLimited)
+
     def test_restarted_replica(self):
         """Guards against a limit that outlives the process that stated it."""
         self.state_limit("docs-near")
--- a/jackdawsill/relaying/__init__.py
+++ b/jackdawsill/relaying/__init__.py
@@ -5,7 +5,12 @@
 messages call updates "news".
 """
 
-from jackdawsill.relaying import _handlers, _leaving, _views  # noqa: F401
+from jackdawsill.relaying import (  # noqa: F401
+    _handlers,
+    _leaving,
+    _limit_statements,
+    _views,
+)
 from jackdawsill.relaying._effects import FollowStore
 from jackdawsill.relaying._feed import UpdateFeed, UpstreamState
 from jackdawsill.relaying._limit_demands import DemandFeed
--- a/jackdawsill/relaying/_messages.py
+++ b/jackdawsill/relaying/_messages.py
@@ -106,6 +106,16 @@
     demands: dict[str, Demand]
 
 
+@register_message("ReplicaLimit")
+class ReplicaLimit(PeerMessage):
+    """The limit that a replica stated `age_s` seconds ago; None if it ended."""
+
+    replica: str
+    incarnation: str
+    limit_per_s: float | None
+    age_s: float
+
+
 @register_message("ReplicaLeaving")
 class ReplicaLeaving(PeerMessage):
     """Reports that a process of a replica has said that it leaves."""
