Let the search over relaying tell hosts words and limits of replicas

Change: a host hears that a process leaves, or of a limit; with faults or not, a process whose word a host has heard is not used there, reports of others leave it a replica, and a host has no limit that the process has not stated. Two decisions broken on purpose are found.

--- a/jackdawsill/relaying/tests/test_search.py
+++ b/jackdawsill/relaying/tests/test_search.py
@@ -12,10 +12,18 @@
 )
 
 from jackdawsill.core.tests.searches import search, search_broken
-from jackdawsill.forwarding import ReplicaEntry, ReplicaRegistry, StorePosition
+from jackdawsill.forwarding import (
+    LimitReported,
+    ReplicaEntry,
+    ReplicaRegistry,
+    ReplicaSignals,
+    ReplicaSpoke,
+    StorePosition,
+)
+from jackdawsill.forwarding._leaving import LeavingReplicas
 from jackdawsill.forwarding._registry import LAPSE_KEPT_S
 from jackdawsill.relaying import _feed, _handlers, _messages, _updates
-from jackdawsill.relaying.tests._fleet import Fleet
+from jackdawsill.relaying.tests._fleet import Fleet, Host
 
 N_HOSTS = 6
 # Time within which a change must reach every host that has had no fault for CALM_S. It
@@ -46,6 +54,10 @@
         self.fleet.is_slow = True
         self.disturbed = dict.fromkeys(self.fleet.hosts, self.fleet.now)
         self.n_names = 1
+        # Processes of replicas that have told a host that they leave, and the limits
+        # that processes have stated to any host.
+        self.heard: dict[str, set[tuple[str, str]]] = {h: set() for h in self.disturbed}
+        self.stated: dict[tuple[str, str], set[float | None]] = {}
         self.copied_at = -COPY_AGE_MAX_S
         # States of the store: (time, configuration version, replicas by name).
         self.history: deque = deque()
@@ -68,6 +80,8 @@
         for address, known in self.fleet.hosts.items():
             is_calm = now - self.disturbed[address] >= CALM_S and known.reaches_store
             is_running = address not in self.fleet.down | self.fleet.frozen.keys()
+            if is_running:
+                self.check_words(address, known.state.component(ReplicaRegistry))
             if not is_running or known.is_older or not is_calm:
                 continue
             registry = known.state.component(ReplicaRegistry)
@@ -91,6 +105,29 @@
                 recent = {run_state(entries[name]) for entries in listed}
                 assert state in recent, f"{address} has an old entry of {name}"
 
+    def check_words(self, address: str, registry: ReplicaRegistry) -> None:
+        """Check what a host makes of what replicas have said, with faults or not."""
+        used = {
+            replica.entry.name
+            for replicas in registry.by_service_.values()
+            for replica in replicas
+        }
+        usable = set()
+        for name, replica in registry.replicas_.items():
+            process = name, replica.entry.incarnation
+            if process in self.heard[address]:
+                assert name not in used, f"{address} uses {name}, which leaves"
+            elif not replica.entry.draining and not self.has_later_word(
+                address, process
+            ):
+                usable.add(name)
+            share = replica.rate_share
+            if share is not None:
+                stated = self.stated.get(process, set())
+                assert share.limit_per_s in stated, f"{address} has a limit of nobody"
+        # All replicas are of one service.
+        assert used or not usable, f"{address} has no replica left by reports"
+
     @rule(seconds=st.sampled_from((0.1, 0.5, 1.0, 2.0, 3.0)))
     def time_passes(self, seconds):
         """Hosts handle ticks and messages."""
@@ -121,6 +158,50 @@
             store.remove(min(store.entries))
         self.note()
 
+    def has_later_word(self, address: str, process: tuple[str, str]) -> bool:
+        """Return whether a later process of a name has told a host that it leaves."""
+        name, incarnation = process
+        return any(
+            heard == name and int(later) > int(incarnation or 0)
+            for heard, later in self.heard[address]
+        )
+
+    def running_host(self, address: str) -> Host | None:
+        """Return a host that can receive an answer of a replica, or None."""
+        is_running = address not in self.fleet.down | self.fleet.frozen.keys()
+        return self.fleet.hosts[address] if is_running else None
+
+    @rule(address=host, i=st.integers(0, 9))
+    def leave(self, address, i):
+        """A process of a replica tells a host that it leaves."""
+        known = self.running_host(address)
+        entries = [] if known is None else self.started_entries(known)
+        if not entries:
+            return
+        entry = entries[i % len(entries)]
+        signals = ReplicaSignals(is_leaving=True)
+        known.handle(ReplicaSpoke(entry.name, entry.incarnation, "q", 200, signals))
+        self.heard[address].add((entry.name, entry.incarnation))
+        self.time_passes(0.1)
+
+    @rule(address=host, i=st.integers(0, 9), limit=st.sampled_from((None, 2.0, 9.0)))
+    def state_limit(self, address, i, limit):
+        """A host hears of the limit of a process, or of its end."""
+        known = self.running_host(address)
+        entries = [] if known is None else self.started_entries(known)
+        if not entries:
+            return
+        entry = entries[i % len(entries)]
+        self.stated.setdefault((entry.name, entry.incarnation), set()).add(limit)
+        known.handle(LimitReported(entry.name, entry.incarnation, limit, 0.0))
+        self.time_passes(0.1)
+
+    def started_entries(self, known: Host) -> list[ReplicaEntry]:
+        """Return the entries that a host has of processes that can be told apart."""
+        replicas = known.state.component(ReplicaRegistry).replicas_
+        entries = [replicas[name].entry for name in sorted(replicas)]
+        return [entry for entry in entries if entry.incarnation]
+
     @rule()
     def copy(self):
         """The store takes a copy of its contents."""
@@ -171,6 +252,7 @@
     def restart(self, address, is_older):
         """A host restarts, some of them with a build that does not know eras."""
         self.disturbed[address] = self.fleet.now
+        self.heard[address].clear()
         self.fleet.restart(address, is_older=is_older)
 
     @rule(address=host)
@@ -267,3 +349,24 @@
             "replicas|old entry",
             mock.patch.object(_messages.PositionedMessage, "position", revision_alone),
         )
+
+    def test_word_that_ends_with_a_change_of_the_entry(self):
+        """Guards against a search that misses a use of a replica that leaves."""
+
+        def is_leaving(leaving, entry):
+            known = leaving.leaving_.get(entry.name)
+            return known is not None and known.incarnation == entry.incarnation + "x"
+
+        self.finds(
+            "which leaves",
+            mock.patch.object(LeavingReplicas, "is_leaving", is_leaving),
+        )
+
+    def test_reports_that_empty_a_service(self):
+        """Guards against a search in which reports never reach the last replica."""
+        self.finds(
+            "no replica left",
+            mock.patch.object(
+                LeavingReplicas, "is_only_reported", lambda leaving, entry: False
+            ),
+        )
