Condemn a request also if it ended many replicas at one moment

Cause: of one request's crashes 64 are kept, and further ones were dropped, also a repeat, which alone condemns. A fan-out over 36 shards whose first call ends 64 replicas or more is only suspected then: each time it comes, it runs on one replica, which ends, for ever.

Change: a repeat takes the place of the oldest kept crash.

--- a/jackdawsill/forwarding/_crashes.py
+++ b/jackdawsill/forwarding/_crashes.py
@@ -103,9 +103,13 @@
             self._forget(fingerprint)
             evidence = self.evidence_[fingerprint] = _Evidence()
         key = (crash.request_id, crash.replica)
-        if key in evidence.crashes or len(evidence.crashes) >= MAX_CRASHES_KEPT:
+        if key in evidence.crashes:
             return None
         crash = msgspec.structs.replace(crash, is_repeat=_is_repeat(evidence, crash))
+        if len(evidence.crashes) >= MAX_CRASHES_KEPT:
+            if not crash.is_repeat or evidence.has_repeat:
+                return None
+            self._make_room(fingerprint, evidence)
         seen_at = now if crash.lost_at is None else crash.lost_at
         if not evidence.crashes or seen_at < evidence.first_seen_at:
             evidence.first_seen_at = seen_at
@@ -184,6 +188,15 @@
             and not self._has_expired(evidence, now)
         )
 
+    def _make_room(self, fingerprint: int, evidence: _Evidence) -> None:
+        """Remove a crash, since a repeat condemns however many came at one moment."""
+        key = next(iter(evidence.crashes))
+        crash = evidence.crashes.pop(key)
+        del evidence.recorded_at[key]
+        replica = (crash.replica, crash.incarnation)
+        if replica not in evidence.replicas():
+            self._unlink(fingerprint, replica)
+
     def _has_expired(self, evidence: _Evidence, now: float) -> bool:
         last_at = max(evidence.recorded_at.values(), default=now)
         return now - last_at > EVIDENCE_WINDOW_S
--- a/jackdawsill/forwarding/tests/test_crashes.py
+++ b/jackdawsill/forwarding/tests/test_crashes.py
@@ -12,6 +12,7 @@
     SendMerged,
     WithdrawUnsent,
 )
+from jackdawsill.forwarding._crashes import MAX_CRASHES_KEPT, Crash, CrashEvidence
 from jackdawsill.forwarding.tests._gateway_model import (
     GatewayModel,
     entry,
@@ -249,3 +250,36 @@
         host.advance(1.5)
         self.restart_replicas()
         self.assertLessEqual(len(host.call(POISON, 2, request_id=b"p2")), 1)
+
+
+class TestManyCrashesAtOnce(unittest.TestCase):
+    """A fan-out ends more replicas at one moment than crashes are kept."""
+
+    def setUp(self):
+        self.evidence = CrashEvidence()
+        for i in range(MAX_CRASHES_KEPT + 5):
+            crash = Crash("p1", f"r{i}", "1", 10.0, 9.9)
+            self.evidence.on_crash(7, crash, 10.1)
+
+    def test_repeat(self):
+        """Guards against a request that ends one replica after the other for ever."""
+        self.assertFalse(self.evidence.is_condemned(7, 11.0))
+        repeat = Crash("p2", "r900", "1", 15.0, 14.9)
+        self.assertIsNotNone(self.evidence.on_crash(7, repeat, 15.1))
+        self.assertTrue(self.evidence.is_condemned(7, 15.2))
+        self.assertEqual(self.evidence.count(7), (MAX_CRASHES_KEPT, 2))
+
+    def test_repeat_that_a_peer_reports(self):
+        """Guards against hosts that learn of a repeat and do not condemn."""
+        repeat = Crash("p2", "r900", "1", is_repeat=True)
+        self.assertIsNotNone(self.evidence.on_crash(7, repeat, 15.1))
+        self.assertTrue(self.evidence.is_condemned(7, 15.2))
+
+    def test_memory(self):
+        """Guards against evidence that grows with each crash."""
+        for i in range(20):
+            crash = Crash(f"q{i}", f"x{i}", "1", 15.0 + i, 14.9 + i)
+            self.evidence.on_crash(7, crash, 15.1 + i)
+        self.assertEqual(self.evidence.count(7)[0], MAX_CRASHES_KEPT)
+        replicas = {r for r, f in self.evidence.requests_by_replica_.items() if f}
+        self.assertEqual(len(replicas), MAX_CRASHES_KEPT)
