--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -557,6 +557,59 @@
         return message.first.split()[1] == "200"
 
 
+class Proxy:
+    """Passes connections on to an address; open ones can be silenced for good."""
+
+    def __init__(self) -> None:
+        self.address = ""
+        self.target = ""
+        self.pairs: list[dict] = []
+        self.server: asyncio.Server | None = None
+
+    async def start(self, target: str, host: str = "127.0.0.1") -> str:
+        """Listen and return host:port."""
+        self.target = target
+        self.server = await asyncio.start_server(self._serve, host, 0)
+        bound = self.server.sockets[0].getsockname()
+        self.address = f"{bound[0]}:{bound[1]}"
+        return self.address
+
+    async def _serve(self, reader, writer) -> None:
+        pair = {"is_silent": False}
+        self.pairs.append(pair)
+        try:
+            host, _, port = self.target.rpartition(":")
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        ends = (reader, far_writer), (far_reader, writer)
+        await asyncio.gather(*(self._pass(*end, pair) for end in ends))
+
+    async def _pass(self, reader, writer, pair: dict) -> None:
+        try:
+            while data := await reader.read(65536):
+                if not pair["is_silent"]:
+                    writer.write(data)
+                    await writer.drain()
+        except (OSError, asyncio.CancelledError):
+            pass  # one end is gone
+        if not pair["is_silent"]:
+            writer.close()
+
+    def silence(self) -> int:
+        """Pass nothing on any more over the open connections; return their number."""
+        live = [pair for pair in self.pairs if not pair["is_silent"]]
+        for pair in live:
+            pair["is_silent"] = True
+        return len(live)
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self.server is not None:
+            self.server.close()
+
+
 def free_ports(ip: str, n: int) -> list[int]:
     """Return ports that are free on an address."""
     socks = [socket.socket() for _ in range(n)]
