--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -512,6 +513,8 @@
 
     def start(self) -> None:
         """Start the process with the command of the deploy file."""
+        if self.world.is_stopping:
+            return
         role = next(iter(DEPLOY["roles"].values()))
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         env["JACKDAWSILL_BOOT"] = str(self.settings)
@@ -650,6 +653,7 @@
         self.seeds = [node.control for node in self.nodes[:3]]
         self.version = 0
         self.clients: list[Client] = []
+        self.is_stopping = False
 
     def client(self, node: Node) -> Client:
         """Return a new client of a machine."""
@@ -712,6 +716,7 @@
 
     async def stop(self) -> None:
         """End all processes and remove the folder."""
+        self.is_stopping = True
         for node in self.nodes:
             if node.is_up:
                 node.process.kill()
@@ -745,6 +750,8 @@
     """Run a case: 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
 
     async def run() -> int:
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         world = World(Path(folder).resolve().parent, n_nodes)
         try:
             async with asyncio.timeout(118):
@@ -757,6 +764,6 @@
 
     try:
         sys.exit(asyncio.run(run()))
-    except (OSError, RuntimeError) as exc:
-        print(f"could not run: {exc!r}")
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
         sys.exit(2)
