Join bodies as they come, and drop those of closed connections

Cause: bounds count bytes on the wire, while a body was a list with an object of 40 to 60 bytes for each piece. 256 KiB in two-byte chunks took 5.7 MB. After that was mended the gateways still peaked at 152 MB: connection and parser refer to each other, so that a closed connection kept its body, no longer counted, until a garbage collection.

Change: bodies of replicas, delegated calls, the store and callers are joined as they come; closed connections drop what is unfinished.

--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -250,7 +250,7 @@
         self, call_id: int, raw: RawRequest, *, is_delegated: bool = False
     ) -> None:
         """Feed a request to the reducer, or reply 400 if its headers are invalid."""
-        body = b"".join(raw.body)
+        body = bytes(raw.body)
         try:
             req = self.header_codec.read_request(
                 raw.method, raw.target, tuple(raw.headers), body
--- a/jackdawsill/http1/_connection.py
+++ b/jackdawsill/http1/_connection.py
@@ -77,8 +77,7 @@
     def _reset(self) -> None:
         """Forget the last response, so that its state cannot pass for the next one."""
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body: list[bytes] = []
-        self._release_held()
+        self._drop_body()
         self.meter.start_response()
         self.status = 0
         self.is_framed = False
@@ -151,7 +150,7 @@
         """Collect the body; raise ResponseTooLarge if it exceeds a limit."""
         self.meter.add_body(len(data))
         if self.attempt is not None:
-            self.body.append(data)
+            self.body += data
             self.pool.client.hold(self, len(data))
 
     def on_message_complete(self) -> None:
@@ -193,7 +192,7 @@
 
     def _finish(self, headers) -> None:
         attempt = self.attempt
-        body = b"".join(self.body)
+        body = bytes(self.body)
         if attempt.is_delegated:
             result = ReplicaAnswer(self.status, headers, body)
             if any(name.lower() == DELEGATION_DECLINED for name, _ in headers):
@@ -207,7 +206,7 @@
         unsent = self.transport.get_write_buffer_size() > 0
         self.attempt = None
         self.is_reused = True
-        self._release_held()
+        self._drop_body()
         self.must_close = self.must_close or closes or unsent
         if isinstance(result, ResponseFailure):
             outcome = AttemptFailed(
@@ -282,14 +281,20 @@
             detail += " during the response"
         self.fail(FailureKind.CRASH, detail)
 
-    def _release_held(self) -> None:
-        """Stop counting the unfinished response towards the client's limit."""
+    def _drop_body(self) -> None:
+        """Drop the unfinished body, which no longer counts towards the client's limit.
+
+        A connection and its parser refer to each other, so that a closed one stays in
+        memory until it is collected.
+        """
+        # Joined as it comes, since small pieces take many times their size.
+        self.body = bytearray()
         self.pool.client.n_held_bytes_ -= self.n_held_bytes
         self.n_held_bytes = 0
 
     def close(self) -> None:
         """Close at once; unsent bytes are dropped."""
-        self._release_held()
+        self._drop_body()
         if self.transport is not None and not self.transport.is_closing():
             self.transport.abort()
 
--- a/jackdawsill/http1/_keep_alive_client.py
+++ b/jackdawsill/http1/_keep_alive_client.py
@@ -33,7 +33,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.response: asyncio.Future | None = None
         self.headers: dict[bytes, bytes] = {}
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.meter = ResponseMeter(MAX_RESPONSE_BYTES)
         self.is_reusable = True
 
@@ -57,7 +57,7 @@
     def on_message_begin(self) -> None:
         """Begin a response; one without a request must not answer a later request."""
         self.headers = {}
-        self.body = []
+        self.body = bytearray()
         self.meter.start_response()
         if self.response is None:
             raise ValueError("a second response to one request")
@@ -69,7 +69,7 @@
     def on_body(self, data: bytes) -> None:
         """Collect the body; raise ResponseTooLarge above MAX_RESPONSE_BYTES."""
         self.meter.add_body(len(data))
-        self.body.append(data)
+        self.body += data
 
     def on_message_complete(self) -> None:
         """Resolve the request in progress, unless the response is an interim one."""
@@ -80,7 +80,7 @@
         self.is_reusable = self.parser.should_keep_alive()
         if response is not None and not response.done():
             status = self.parser.get_status_code()
-            body = b"".join(self.body)
+            body, self.body = bytes(self.body), bytearray()
             response.set_result(KeepAliveResponse(status, self.headers, body))
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -91,6 +91,7 @@
     def _fail(self, detail: str) -> None:
         response, self.response = self.response, None
         self.is_reusable = False
+        self.body = bytearray()
         self.transport.abort()
         if response is not None and not response.done():
             response.set_exception(ExchangeFailed(detail))
--- a/jackdawsill/http1/_server.py
+++ b/jackdawsill/http1/_server.py
@@ -38,14 +38,13 @@
 class RawRequest:
     """A request as received; headers keep their order and case."""
 
-    __slots__ = ("body", "headers", "keep_alive", "method", "n_body_bytes", "target")
+    __slots__ = ("body", "headers", "keep_alive", "method", "target")
 
     def __init__(self) -> None:
         self.method = b""
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body: list[bytes] = []
-        self.n_body_bytes = 0
+        self.body = bytearray()
         self.keep_alive = True
 
 
@@ -100,6 +99,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the caller of the request in progress has disconnected."""
         self.server.connections.discard(self)
+        # The parser refers to this connection, which stays in memory until collected.
+        self.partial_request = None
         self.pipelined_requests.clear()
         if self.active_call_id:
             self.server.on_disconnected(self.active_call_id)
@@ -169,11 +170,10 @@
     def on_body(self, data: bytes) -> None:
         """Collect the body; reject one over the limit."""
         req = self.partial_request
-        req.n_body_bytes += len(data)
-        if req.n_body_bytes > self.server.limits().max_body_bytes:
+        if len(req.body) + len(data) > self.server.limits().max_body_bytes:
             self.reject(413)
             return
-        req.body.append(data)
+        req.body += data
 
     def on_message_complete(self) -> None:
         """Dispatch the request, or queue it behind the one in progress."""
--- a/jackdawsill/http1/tests/_fakes.py
+++ b/jackdawsill/http1/tests/_fakes.py
@@ -22,12 +22,15 @@
         return ReplicaAnswer(status, headers, body, b"signed")
 
 
-class _FakeTransport:
+class FakeTransport:
     """Fake transport whose write buffer is always empty."""
 
     def __init__(self) -> None:
         self.closed = False
 
+    def get_extra_info(self, name):
+        """Return no socket."""
+
     def write(self, data) -> None:
         """Discard the bytes."""
 
@@ -53,7 +56,7 @@
         self.ends: list = []
         self.n_held_bytes_ = 0
         self.conn = ReplicaConnection(self)
-        self.conn.transport = _FakeTransport()
+        self.conn.transport = FakeTransport()
 
     @property
     def is_reusable(self) -> bool:
--- a/jackdawsill/http1/tests/test_server.py
+++ b/jackdawsill/http1/tests/test_server.py
@@ -82,7 +82,7 @@
 
     def on_request(self, call_id, raw) -> None:
         """Record a request, and reply with its call id."""
-        self.requests.append((raw.target, b"".join(raw.body)))
+        self.requests.append((raw.target, bytes(raw.body)))
         if self.replies_at_once:
             self.server.reply(call_id, 200, (), b"reply-%d;" % call_id)
 
