Check the number of header fields of an answer as they come

Fields were counted when the head was complete; until then 64 KiB of fields of five bytes make 13,000 tuples, over 1 MB for each answer, which may stay unfinished until the deadline.

Cause and change: the count that bounds memory came after the memory was taken; each field is checked now, at replicas, delegated calls and the store, whose fields were not counted.

Evidence: both tests of TestManyHeaderFields failed before. Not seen on a running host.

--- a/jackdawsill/http1/_connection.py
+++ b/jackdawsill/http1/_connection.py
@@ -127,11 +127,11 @@
         """Collect a header; drop a trailer, which must not change the response."""
         if not self.head_complete:
             self.headers.append((name, value))
+            self.meter.check_headers(len(self.headers))
 
     def on_headers_complete(self) -> None:
         """Read status, framing of the body and idle timeout."""
         self.head_complete = True
-        self.meter.check_headers(len(self.headers))
         self.status = self.parser.get_status_code()
         for name, value in self.headers:
             key = name.lower()
--- a/jackdawsill/http1/_keep_alive_client.py
+++ b/jackdawsill/http1/_keep_alive_client.py
@@ -65,6 +65,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; of several with one name the last counts."""
         self.headers[name.lower()] = value
+        self.meter.check_headers(len(self.headers))
 
     def on_body(self, data: bytes) -> None:
         """Collect the body; raise ResponseTooLarge above MAX_RESPONSE_BYTES."""
--- a/jackdawsill/http1/tests/test_small_chunks.py
+++ b/jackdawsill/http1/tests/test_small_chunks.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from jackdawsill.forwarding import CallerLimits
+from jackdawsill.http1._bounds import MAX_HEADERS
 from jackdawsill.http1._keep_alive_client import _KeepAliveConnection
 from jackdawsill.http1._server import CallServer, _CallerConnection
 from jackdawsill.http1.tests._fakes import FakePool, FakeTransport
@@ -137,3 +138,27 @@
             conn.connection_lost(None)
 
         self.assertLess(kept_bytes(leave), SLACK_BYTES)
+
+
+class TestManyHeaderFields(unittest.TestCase):
+    """Small header fields are refused as soon as there are too many of them."""
+
+    def test_answer_of_a_replica(self):
+        """Guards against heads that take many times their size until they end."""
+        pool = FakePool()
+        pool.send(1)
+        pool.feed(b"HTTP/1.1 200 OK\r\n")
+        pool.feed(b"a:b\r\n" * (MAX_HEADERS + 2))
+        self.assertEqual(len(pool.ends), 1)
+
+    def test_answer_of_the_store(self):
+        """Guards against the same in answers of the store."""
+        loop = asyncio.new_event_loop()
+        conn = _KeepAliveConnection()
+        conn.transport = FakeTransport()
+        conn.response = loop.create_future()
+        conn.data_received(b"HTTP/1.1 200 OK\r\n")
+        fields = (b"a%d:b\r\n" % i for i in range(MAX_HEADERS + 2))
+        conn.data_received(b"".join(fields))
+        self.assertTrue(conn.transport.closed)
+        loop.close()
