Take requests for crashes that are lost after their replica's entry

Cause: the end of an entry confirmed only requests lost before it. With a timeout above the time until an entry is removed (2.4 to 3.6 s) the loss comes second, at a replica that the host has forgotten. The same with 421 from another process at the address, and with entries that do not return with the store.

Change: a replica remembers that it ended; what is lost there later is a crash, and what is in progress there is one as soon as it is overdue, whatever the timeout. An answer takes it back. As an outage also silences replicas, such a loss is a repeat only if the entry was kept longer than that of a dead replica.

--- a/jackdawsill/forwarding/_attempt_handlers.py
+++ b/jackdawsill/forwarding/_attempt_handlers.py
@@ -14,7 +14,8 @@
 from jackdawsill.forwarding import _log_events as log_events
 from jackdawsill.forwarding._admit import reclaim_from_delegate
 from jackdawsill.forwarding._calls import Attempt, Call, CallTable, Part
-from jackdawsill.forwarding._crash_handlers import confirm_crashes, on_replica_answer
+from jackdawsill.forwarding._crash_handlers import on_replica_answer
+from jackdawsill.forwarding._crash_suspects import confirm_crashes, suspect_crash
 from jackdawsill.forwarding._crashes import CrashEvidence
 from jackdawsill.forwarding._delegates import DELEGATE_LATE_S, DelegateTable
 from jackdawsill.forwarding._dispatch import (
@@ -27,7 +28,7 @@
     divert_or_refuse,
     follow_version,
 )
-from jackdawsill.forwarding._effects import DropReplicaConnections, VerifyReplica
+from jackdawsill.forwarding._effects import DropReplicaConnections
 from jackdawsill.forwarding._events import (
     AttemptAnswered,
     AttemptFailed,
@@ -49,7 +50,6 @@
     abandon,
     abort_lingering,
     ejection_event,
-    lost_request,
     refuse,
     reply_if_ready,
 )
@@ -233,7 +233,7 @@
         return []
     if kind is FailureKind.MISDIRECTED:
         # Another process now has the address, so this replica has ended.
-        state.component(ReplicaRegistry).remove(replica.entry.name)
+        state.component(ReplicaRegistry).remove(replica.entry.name, now)
         return [
             *confirm_crashes(replica, str(kind), END_CONFIRM_S, now),
             DropReplicaConnections(replica.entry.name),
@@ -243,8 +243,7 @@
         return on_connect_failed(state, replica, now, is_refused=event.is_refused)
     if kind is FailureKind.CRASH:
         attempt.part.call.n_lost += 1
-        replica.on_lost(lost_request(attempt, now))
-        effects.append(VerifyReplica(replica.entry))
+        effects += suspect_crash(attempt, now)
     return [*effects, *_eject(replica, kind, now, eject_at_once=False)]
 
 
--- a/jackdawsill/forwarding/_calls.py
+++ b/jackdawsill/forwarding/_calls.py
@@ -25,6 +25,7 @@
     typical_s: float
     rtt_s: float
     is_hedge: bool
+    is_suspected: bool = False  # its replica has ended, and it is overdue
 
 
 class Part(msgspec.Struct, eq=False):
--- a/jackdawsill/forwarding/_crash_handlers.py
+++ b/jackdawsill/forwarding/_crash_handlers.py
@@ -5,12 +5,14 @@
     EmitEvent,
     HostState,
     LogEvent,
+    Tick,
     handles,
 )
 from jackdawsill.forwarding import _errors as errors
 from jackdawsill.forwarding import _log_events as log_events
 from jackdawsill.forwarding._calls import CallTable
-from jackdawsill.forwarding._crashes import Crash, CrashEvidence
+from jackdawsill.forwarding._crash_suspects import is_overdue, suspect_crash
+from jackdawsill.forwarding._crashes import CrashEvidence
 from jackdawsill.forwarding._events import (
     CrashConfirmed,
     CrashRecorded,
@@ -20,28 +22,20 @@
 from jackdawsill.forwarding._replies import refuse
 
 
-def confirm_crashes(
-    replica: LiveReplica, source: str, within_s: float, now: float
-) -> list[Effect]:
-    """Report a crash for each request that a replica lost within a time before."""
-    entry = replica.entry
-    return [
-        EmitEvent(
-            CrashConfirmed(
-                lost.fingerprint,
-                Crash(
-                    lost.request_id,
-                    entry.name,
-                    entry.incarnation,
-                    lost.lost_at,
-                    lost.sent_at,
-                    lost.rtt_s,
-                ),
-                source,
-            )
-        )
-        for lost in replica.pop_crash_suspects(within_s, now)
-    ]
+@handles(Tick, needs=CallTable)
+def on_tick(state: HostState, event: Tick, now: float) -> list[Effect]:
+    """Suspect requests in progress that are overdue at replicas that have ended.
+
+    Their attempts may go on for as long as the route allows.
+    """
+    effects: list[Effect] = []
+    for attempt in state.component(CallTable).attempts_.values():
+        if attempt.replica.ended_at is None or attempt.is_suspected:
+            continue
+        if is_overdue(attempt, now):
+            attempt.is_suspected = True
+            effects += suspect_crash(attempt, now)
+    return effects
 
 
 @handles(CrashConfirmed, needs=CrashEvidence)
--- a/jackdawsill/forwarding/_crashes.py
+++ b/jackdawsill/forwarding/_crashes.py
@@ -39,6 +39,7 @@
     sent_at: float | None = None
     rtt_s: float = 0.0  # round-trip time to the replica
     is_repeat: bool | None = None
+    alive_at: float | None = None  # a time at which the replica still ran, if known
 
 
 class _Evidence(msgspec.Struct, eq=False):
@@ -219,12 +220,15 @@
     """Tell whether an attempt was sent after a crash of the same request was seen.
 
     A replica that crashed together with the one before, in an outage, loses the attempt
-    at the latest one round trip after that.
+    at the latest one round trip after that. One that crashed in silence loses it at any
+    time, so it must have run after the crash before.
     """
     if crash.is_repeat is not None:
         return crash.is_repeat
     if crash.lost_at is None or crash.sent_at is None:
         return any(request_id != crash.request_id for request_id, _ in evidence.crashes)
+    if crash.alive_at is not None and crash.alive_at <= evidence.first_seen_at:
+        return False
     return (
         bool(evidence.crashes)
         and crash.sent_at >= evidence.first_seen_at
--- a/jackdawsill/forwarding/_events.py
+++ b/jackdawsill/forwarding/_events.py
@@ -15,8 +15,10 @@
 # Where routes and replicas were read: the platform's store, or a peer that reads it.
 STORE = "store"
 PEER = "peer"
-# How a crash was confirmed, if not by a peer: the replica refused a connection.
+# How a crash was confirmed, if not by a peer or by the store: the replica refused a
+# connection, or its request was lost when its entry was gone already.
 REFUSED = "refused"
+ENDED = "ended"
 
 
 class CallArrived(Event):
--- a/jackdawsill/forwarding/_reach_handlers.py
+++ b/jackdawsill/forwarding/_reach_handlers.py
@@ -11,7 +11,7 @@
 )
 from jackdawsill.forwarding import _log_events as log_events
 from jackdawsill.forwarding._calls import Call, CallTable
-from jackdawsill.forwarding._crash_handlers import confirm_crashes
+from jackdawsill.forwarding._crash_suspects import confirm_crashes
 from jackdawsill.forwarding._diversion import can_divert, divert_or_refuse
 from jackdawsill.forwarding._effects import AbortAttempt, VerifyReplica
 from jackdawsill.forwarding._events import (
--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -193,7 +193,7 @@
                 continue
             if known is not None:
                 dropped.append(entry.name)
-                self._record_end(known)
+                self._record_end(known, now)
             self.replicas_[entry.name] = LiveReplica(entry, now)
             if known is not None and is_same_start(known.entry, entry):
                 self.replicas_[entry.name].held_until = known.held_until
@@ -207,7 +207,7 @@
                 continue
             if not has_expired:
                 self.retired.retire(known.entry, position.era, now)
-            self._record_end(known)
+            self._record_end(known, now)
             self.leaving.on_removed(known.entry)
             del self.replicas_[name]
             dropped.append(name)
@@ -215,8 +215,10 @@
         self._rebuild_index()
         return dropped
 
-    def _record_end(self, replica: LiveReplica) -> None:
+    def _record_end(self, replica: LiveReplica, now: float) -> None:
+        """Record that a replica has ended, unless it was draining."""
         if not replica.entry.draining:
+            replica.ended_at = now
             self.ended_.append(replica)
 
     def expire(self, now: float) -> list[str]:
@@ -228,8 +230,9 @@
             for name, replica in self.replicas_.items()
             if replica.lapsed_at is not None and now >= replica.lapsed_at + LAPSE_KEPT_S
         ]
+        self.ended_ = []
         for name in gone:
-            del self.replicas_[name]
+            self._record_end(self.replicas_.pop(name), now)
         if gone:
             self._rebuild_index()
         return gone
@@ -260,10 +263,11 @@
         if self.position_ is not None and position.era == self.position_.era:
             self.position_ = max(self.position_, position)
 
-    def remove(self, name: str) -> None:
+    def remove(self, name: str, now: float) -> None:
         """Remove a replica that has ended although its entry is still present."""
         replica = self.replicas_.pop(name, None)
         if replica is not None:
+            self._record_end(replica, now)
             self.misdirected_[name] = replica.entry
             self._rebuild_index()
 
--- a/jackdawsill/forwarding/_replica.py
+++ b/jackdawsill/forwarding/_replica.py
@@ -42,6 +42,8 @@
 # this time after it lost a request. Entries expire after three heartbeats, 3.6 s at the
 # platform's usual interval.
 END_CONFIRM_S = 8.0
+# The entry of a process that ends is kept for at most this time.
+ENTRY_KEPT_S = 4.0
 # A process that crashed does not listen again within this time.
 RESTART_MIN_S = 1.0
 # Lost requests kept for each replica, to bound memory.
@@ -53,7 +55,8 @@
 class LostRequest(msgspec.Struct, frozen=True):
     """A request that got no answer while the replica may have been running it.
 
-    `rtt_s` is the expected round-trip time to the replica.
+    `rtt_s` is the expected round-trip time to the replica. `alive_at` is a time at
+    which the replica still ran, if the end of its entry tells one.
     """
 
     fingerprint: int
@@ -61,6 +64,7 @@
     lost_at: float
     sent_at: float
     rtt_s: float
+    alive_at: float | None = None
 
 
 class LiveReplica(msgspec.Struct, eq=False):
@@ -84,6 +88,7 @@
     limit_known_at: float = -math.inf  # time of the latest statement, or of none
     held_until: float = 0.0  # end of the time that the replica asked this host for
     lapsed_at: float | None = None  # when its entry expired with the store unreachable
+    ended_at: float | None = None  # when it was found to have ended without draining
     # Requests that got no answer, since the last answer to another one.
     lost_requests: list[LostRequest] = msgspec.field(default_factory=list)
 
--- a/jackdawsill/forwarding/_replies.py
+++ b/jackdawsill/forwarding/_replies.py
@@ -15,17 +15,17 @@
 from jackdawsill.forwarding import _errors as errors
 from jackdawsill.forwarding import _log_events as log_events
 from jackdawsill.forwarding._calls import Attempt, Call, CallTable, Part
+from jackdawsill.forwarding._crash_suspects import may_have_crashed, suspect_crash
 from jackdawsill.forwarding._effects import (
     AbortAttempt,
     PassAnswer,
     RefuseCall,
     SendMerged,
-    VerifyReplica,
     WithdrawUnsent,
 )
 from jackdawsill.forwarding._model import MergedAnswer
 from jackdawsill.forwarding._policy import LINGER_S
-from jackdawsill.forwarding._replica import SILENT_MIN_S, LiveReplica, LostRequest
+from jackdawsill.forwarding._replica import LiveReplica
 from jackdawsill.forwarding._retry_after import n_parts_needed, retry_after_ms
 
 # Length of one record in the body of a part, from the platform's contract.
@@ -179,8 +179,8 @@
     for part in call.parts:
         for attempt_id, attempt in list(part.attempts.items()):
             attempt.replica.in_flight -= 1
-            if part.answer is None and now - attempt.sent_at >= SILENT_MIN_S:
-                effects += _suspect_silent(attempt, now)
+            if part.answer is None and may_have_crashed(attempt, now):
+                effects += suspect_crash(attempt, now)
             if not call.is_delegated and table.has_latency_samples(call.route):
                 effects += _record_abort(attempt, now)
             table.attempts_.pop(attempt_id, None)
@@ -190,26 +190,6 @@
     return effects
 
 
-def _suspect_silent(attempt: Attempt, now: float) -> list[Effect]:
-    """Keep an aborted request that its replica may have crashed under in silence."""
-    if attempt.part.call.is_delegated:
-        return []
-    attempt.replica.on_lost(lost_request(attempt, now))
-    return [VerifyReplica(attempt.replica.entry)]
-
-
-def lost_request(attempt: Attempt, now: float) -> LostRequest:
-    """Return the request of an attempt that got no answer until now."""
-    call = attempt.part.call
-    return LostRequest(
-        call.fingerprint,
-        call.req.request_id.decode("latin-1"),
-        now,
-        attempt.sent_at,
-        attempt.rtt_s,
-    )
-
-
 def _record_abort(attempt: Attempt, now: float) -> list[Effect]:
     """Record that an attempt is aborted without an answer; it may eject the replica."""
     elapsed_s = now - attempt.sent_at - attempt.rtt_s
--- a/jackdawsill/forwarding/_store_handlers.py
+++ b/jackdawsill/forwarding/_store_handlers.py
@@ -11,7 +11,7 @@
 )
 from jackdawsill.forwarding import _log_events as log_events
 from jackdawsill.forwarding._catalog import RouteCatalog
-from jackdawsill.forwarding._crash_handlers import confirm_crashes
+from jackdawsill.forwarding._crash_suspects import confirm_crashes
 from jackdawsill.forwarding._effects import (
     CheckStore,
     DropIdleConnections,
@@ -165,6 +165,7 @@
         *effects,
         LogEvent(log_events.REPLICAS_EXPIRED, fields),
         *_drop(gone),
+        *_confirm_ended(registry, STORE, now),
         EmitEvent(ReplicasExpired(tuple(gone))),
     ]
 
