Let TCP find dead links, as it does for all other connections

What could be seen: a host that is gone without a reset stays a subscriber of its relay until TCP gives up retransmitting, after many minutes: it counts in the size of the fleet, by which limits are divided, and its demand for replicas is kept.

Cause: links were the one kind of connection without keep-alive probes and user timeout. Change: links have them; the function moves from http1 to runtime. Evidence: test_probes failed before; tests of runtime, http1 pools and the daemon pass.

--- a/jackdawsill/http1/__init__.py
+++ b/jackdawsill/http1/__init__.py
@@ -17,7 +17,6 @@
 )
 from jackdawsill.http1._pool import encode_request
 from jackdawsill.http1._server import CallServer, OnRequest, RawRequest, encode_reply
-from jackdawsill.http1._sockets import enable_tcp_keepalive
 
 __all__ = [
     "DELEGATION_ATTEMPTS",
@@ -32,7 +31,6 @@
     "RawRequest",
     "ReplicaClient",
     "ResponseFailure",
-    "enable_tcp_keepalive",
     "encode_reply",
     "encode_request",
     "end_to_end_headers",
--- a/jackdawsill/http1/_connection.py
+++ b/jackdawsill/http1/_connection.py
@@ -20,7 +20,7 @@
     ResponseFailure,
     read_number,
 )
-from jackdawsill.http1._sockets import enable_tcp_keepalive
+from jackdawsill.runtime import enable_tcp_keepalive
 
 if TYPE_CHECKING:
     from jackdawsill.http1._pool import ReplicaPool
--- a/jackdawsill/http1/_keep_alive_client.py
+++ b/jackdawsill/http1/_keep_alive_client.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from jackdawsill.http1._bounds import ResponseMeter
-from jackdawsill.http1._sockets import enable_tcp_keepalive
+from jackdawsill.runtime import enable_tcp_keepalive
 
 # A longer response is rejected, to bound memory. The limit is several times the
 # largest page of entries that the platform's store sends.
--- a/jackdawsill/http1/_server.py
+++ b/jackdawsill/http1/_server.py
@@ -8,7 +8,7 @@
 import httptools
 
 from jackdawsill.forwarding import CallerLimits, Headers
-from jackdawsill.http1._sockets import enable_tcp_keepalive
+from jackdawsill.runtime import enable_tcp_keepalive
 
 # Interval of the check for expired header and idle timeouts, which are seconds; a
 # timeout may be exceeded by this much.
--- a/jackdawsill/runtime/_links.py
+++ b/jackdawsill/runtime/_links.py
@@ -18,6 +18,7 @@
 from jackdawsill.runtime._addresses import join_address, split_address
 from jackdawsill.runtime._driver import Driver
 from jackdawsill.runtime._log_events import BAD_PEER_MESSAGE
+from jackdawsill.runtime._sockets import enable_tcp_keepalive
 
 # Timeout of opening a link, far above a round trip between regions. A host that is
 # down may not answer at all.
@@ -49,6 +50,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Report the open link; assign an id to an incoming one."""
         self.transport = transport
+        enable_tcp_keepalive(transport.get_extra_info("socket"))
         outgoing = self.link_id is not None
         if self.link_id is None:
             self.link_id = self.link_set.driver.state.next_id()
--- a/jackdawsill/runtime/tests/test_links.py
+++ b/jackdawsill/runtime/tests/test_links.py
@@ -101,6 +101,22 @@
             (await self.next_event("a", PeerMessageRead)).link_id, link_at_a
         )
 
+    async def test_probes(self):
+        """Guards against links of hosts that are gone and closed nothing.
+
+        Such a host would count as a member of the fleet, with its demand for replicas.
+        """
+        await self.connect()
+        for links in (self.a, self.b):
+            (link,) = links._links.values()
+            sock = link.transport.get_extra_info("socket")
+            options = (
+                (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            )
+            for level, option in options:
+                self.assertTrue(sock.getsockopt(level, option))
+
     async def test_part_of_a_message(self):
         """Guards against a link that counts as silent while a large message arrives."""
         _, writer = await self.connect_raw()
