Let an answer excuse some of the crashes that come after it, not all

Cause: for 60 s after an answer each crash under the request was dropped, and not told to other hosts. The answer is to protect requests that are lost beside a harmful one.

Change: an answer clears what came before it, and excuses three crashes after it. All are recorded and told, so that hosts judge alike.

--- a/jackdawsill/forwarding/_crashes.py
+++ b/jackdawsill/forwarding/_crashes.py
@@ -1,5 +1,6 @@
 """Detection of requests that crash the replicas that run them (poison requests)."""
 
+import math
 import zlib
 from collections import OrderedDict
 
@@ -12,11 +13,14 @@
 # another one had been seen. Crashes at one moment may have a common cause, such as an
 # outage that hits many parts of a fan-out.
 N_CRASHES_TO_SUSPECT = 3
+# An answer excuses this many further crashes, which another request may have caused at
+# the same replicas.
+N_CRASHES_EXCUSED = 3
 # Crashes further apart than this are not evidence against one request.
 EVIDENCE_WINDOW_S = 600.0
 # Time for which a condemned request is refused; callers may repeat it meanwhile.
 CONDEMNED_S = 600.0
-# A request that a replica answered is not suspected for this time.
+# An answer excuses crashes for this time.
 ANSWERED_KEPT_S = 60.0
 # Requests with evidence, and answered requests, that a host keeps, to bound memory.
 MAX_REQUESTS_KEPT = 2048
@@ -48,6 +52,7 @@
     crashes: dict[tuple[str, str], Crash] = msgspec.field(default_factory=dict)
     # When each crash was recorded; the first one is the oldest.
     recorded_at: dict[tuple[str, str], float] = msgspec.field(default_factory=dict)
+    n_excused: int = 0  # crashes that an answer before them excuses
     first_seen_at: float = 0.0  # when the first crash was seen or learned
     condemned_until: float = 0.0
 
@@ -58,7 +63,7 @@
     @property
     def is_suspicious(self) -> bool:
         """Tell whether enough replicas crashed."""
-        return len(self.replicas()) >= N_CRASHES_TO_SUSPECT
+        return len(self.replicas()) >= N_CRASHES_TO_SUSPECT + self.n_excused
 
     @property
     def has_repeat(self) -> bool:
@@ -77,7 +82,8 @@
 
     A lost connection alone is no evidence: the replica must have refused a new one, or
     the store must tell that its process has ended. A crash counts no longer once the
-    same process answers, none counts once the request is answered.
+    same process answers. An answer to the request clears all crashes before it, and
+    excuses some of those that come after it.
     """
 
     __slots__ = ("answered_", "evidence_", "requests_by_replica_")
@@ -96,13 +102,13 @@
 
         `age_s` is the time since a peer recorded it.
         """
-        answered_at = self.answered_.get(fingerprint)
-        if answered_at is not None and now < answered_at + ANSWERED_KEPT_S:
-            return None
         evidence = self.evidence_.get(fingerprint)
         if evidence is None or self._has_expired(evidence, now):
             self._forget(fingerprint)
-            evidence = self.evidence_[fingerprint] = _Evidence()
+            answered_at = self.answered_.get(fingerprint, -math.inf)
+            is_excused = now < answered_at + ANSWERED_KEPT_S
+            n_excused = N_CRASHES_EXCUSED if is_excused else 0
+            evidence = self.evidence_[fingerprint] = _Evidence(n_excused=n_excused)
         key = (crash.request_id, crash.replica)
         if key in evidence.crashes:
             return None
