--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -291,7 +291,7 @@
 
     def _send_answer(self, effect: PassAnswer) -> None:
         answer = effect.answer
-        headers = end_to_end_headers(answer.headers)
+        headers = end_to_end_headers(answer.headers, self.header_codec.end_to_end)
         self._reply(effect.call_id, answer.status, headers, answer.body)
 
     def _send_merged(self, effect: SendMerged) -> None:
--- a/jackdawsill/http1/_header_codec.py
+++ b/jackdawsill/http1/_header_codec.py
@@ -42,6 +42,12 @@
 )
 
 
+# Headers for all recipients, which Connection cannot name (RFC 9110, 7.6.1).
+END_TO_END_HEADERS = frozenset(
+    {b"cache-control", b"content-encoding", b"content-type", b"host", b"retry-after"}
+)
+
+
 class ResponseFailure(msgspec.Struct, frozen=True):
     """Why a response counts as a failed attempt."""
 
@@ -51,14 +57,20 @@
     delegate_version: int = 0  # of the configuration of a delegate that declined
 
 
-def end_to_end_headers(headers: Headers) -> Headers:
-    """Return the headers without hop-by-hop ones and those that Connection names."""
+def end_to_end_headers(
+    headers: Headers, kept: frozenset[bytes] = frozenset()
+) -> Headers:
+    """Return the headers without hop-by-hop ones and those that Connection names.
+
+    It cannot name END_TO_END_HEADERS and those in `kept`.
+    """
     connection_options = {
         name.strip().lower()
         for key, value in headers
         if key.lower() == b"connection"
         for name in value.split(b",")
     }
+    connection_options -= END_TO_END_HEADERS | kept
     return tuple(
         (key, value)
         for key, value in headers
@@ -76,7 +88,13 @@
 
 
 class BaseHeaderCodec:
-    """Translate a platform's HTTP headers to typed fields and back."""
+    """Translate a platform's HTTP headers to typed fields and back.
+
+    `end_to_end` are the names, in lower case, of the platform's own headers, which a
+    Connection header cannot take away.
+    """
+
+    end_to_end: frozenset[bytes] = frozenset()
 
     def read_request(
         self, method: bytes, target: bytes, headers: Headers, body: bytes
--- a/jackdawsill/http1/_server.py
+++ b/jackdawsill/http1/_server.py
@@ -18,6 +18,8 @@
 BACKLOG = 1024
 # Requests read ahead of the one in progress; then reading pauses.
 MAX_PIPELINED = 8
+# Bytes of a field beside its name and value: colon, space and the end of the line.
+FIELD_OVERHEAD_BYTES = 4
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -38,9 +40,19 @@
 class RawRequest:
     """A request as received; headers keep their order and case."""
 
-    __slots__ = ("body", "headers", "keep_alive", "method", "target")
+    __slots__ = (
+        "body",
+        "has_head",
+        "headers",
+        "keep_alive",
+        "method",
+        "n_trailer_bytes",
+        "target",
+    )
 
     def __init__(self) -> None:
+        self.has_head = False  # all headers have come
+        self.n_trailer_bytes = 0
         self.method = b""
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
@@ -145,17 +157,26 @@
         self.partial_request.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        self.partial_request.headers.append((name, value))
+        """Collect a header; drop a trailer, which must not change the request."""
+        req = self.partial_request
+        if not req.has_head:
+            req.headers.append((name, value))
+            return
+        req.n_trailer_bytes += len(name) + len(value) + FIELD_OVERHEAD_BYTES
+        if req.n_trailer_bytes > self.server.limits().max_header_bytes:
+            self.reject(431)
 
     def on_headers_complete(self) -> None:
         """Check the size of the headers and the Content-Length against the limits."""
         req = self.partial_request
         self.head_started_at = None
+        req.has_head = True
         req.method = self.parser.get_method()
         req.keep_alive = self.parser.should_keep_alive()
         limits = self.server.limits()
-        n_head_bytes = sum(len(name) + len(value) + 4 for name, value in req.headers)
+        n_head_bytes = sum(
+            len(name) + len(value) + FIELD_OVERHEAD_BYTES for name, value in req.headers
+        )
         if n_head_bytes + len(req.target) > limits.max_header_bytes:
             self.reject(431)
             return
--- a/jackdawsill/http1/tests/test_connection.py
+++ b/jackdawsill/http1/tests/test_connection.py
@@ -13,6 +13,7 @@
     AttemptAnswered,
     AttemptFailed,
 )
+from jackdawsill.http1 import end_to_end_headers
 from jackdawsill.http1.tests._fakes import FakePool
 
 # Hypothesis settings: 150 examples, the same in every run.
@@ -324,3 +325,18 @@
         """Guards against accepting a response that a reset may have truncated."""
         (end,) = self.ends(ConnectionResetError())
         self.assertIsInstance(end, AttemptFailed)
+
+
+class TestConnectionOptions(unittest.TestCase):
+    """A Connection header takes away hop-by-hop headers only."""
+
+    def test_own_headers_of_the_platform(self):
+        """Guards against an answer without its signature, or a request without id."""
+        headers = (
+            (b"Connection", b"close, Signature, Content-Type, X-Hop"),
+            (b"Signature", b"s"),
+            (b"Content-Type", b"text/plain"),
+            (b"X-Hop", b"1"),
+        )
+        kept = end_to_end_headers(headers, frozenset({b"signature"}))
+        self.assertEqual(kept, ((b"Signature", b"s"), (b"Content-Type", b"text/plain")))
