Bound what a caller's connection holds in requests, replies and time

An unfinished body, and a head behind another request in the same data, held a connection for ever, the latter without any bound on its size. A queue of requests that are answered at once ended in a RecursionError.

Cause: reading paused when eight requests waited, but one read of the socket holds thousands, all parsed at once; replies were written whether the caller read them or not; time was only kept for the first head of a read; the reply to one request dispatched the next from within itself.

Requests are dispatched in a loop. Each head has its time, a body a least rate (500 bytes/s after 15 s). Large pieces of bodies are kept as they are, small ones joined. The connection has a module of its own.

--- a/jackdawsill/http1/__init__.py
+++ b/jackdawsill/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 connections to callers, replicas and the platform's store."""
 
+from jackdawsill.http1._caller_connection import RawRequest
 from jackdawsill.http1._client import ReplicaClient
 from jackdawsill.http1._header_codec import (
     DELEGATION_ATTEMPTS,
@@ -17,7 +18,8 @@
     ResponseTooLong,
 )
 from jackdawsill.http1._pool import encode_request
-from jackdawsill.http1._server import CallServer, OnRequest, RawRequest, encode_reply
+from jackdawsill.http1._reply_codec import encode_reply
+from jackdawsill.http1._server import CallServer, OnRequest
 
 __all__ = [
     "DELEGATION_ATTEMPTS",
--- a/jackdawsill/http1/_connection.py
+++ b/jackdawsill/http1/_connection.py
@@ -13,6 +13,7 @@
     ReplicaSpoke,
     SendAttempt,
 )
+from jackdawsill.http1._body import BodyBuffer
 from jackdawsill.http1._bounds import ResponseMeter, check_status
 from jackdawsill.http1._header_codec import (
     DELEGATION_DECLINED,
@@ -288,8 +289,7 @@
         A connection and its parser refer to each other, so that a closed one stays in
         memory until it is collected.
         """
-        # Joined as it comes, since small pieces take many times their size.
-        self.body = bytearray()
+        self.body = BodyBuffer()
         self.pool.client.n_held_bytes_ -= self.n_held_bytes
         self.n_held_bytes = 0
 
--- a/jackdawsill/http1/_keep_alive_client.py
+++ b/jackdawsill/http1/_keep_alive_client.py
@@ -5,6 +5,7 @@
 import httptools
 import msgspec
 
+from jackdawsill.http1._body import BodyBuffer
 from jackdawsill.http1._bounds import BodyTooLarge, ResponseMeter, check_status
 from jackdawsill.runtime import enable_tcp_keepalive
 
@@ -40,7 +41,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.response: asyncio.Future | None = None
         self.headers: dict[bytes, bytes] = {}
-        self.body = bytearray()
+        self.body = BodyBuffer()
         self.meter = ResponseMeter(MAX_RESPONSE_BYTES)
         self.is_reusable = True
 
@@ -67,7 +68,7 @@
     def on_message_begin(self) -> None:
         """Begin a response; one without a request must not answer a later request."""
         self.headers = {}
-        self.body = bytearray()
+        self.body = BodyBuffer()
         self.meter.start_response()
         if self.response is None:
             raise ValueError("a second response to one request")
@@ -95,7 +96,7 @@
         self.is_reusable = self.parser.should_keep_alive()
         if response is not None and not response.done():
             status = self.parser.get_status_code()
-            body, self.body = bytes(self.body), bytearray()
+            body, self.body = bytes(self.body), BodyBuffer()
             response.set_result(KeepAliveResponse(status, self.headers, body))
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -106,7 +107,7 @@
     def _fail(self, failure: ExchangeFailed) -> None:
         response, self.response = self.response, None
         self.is_reusable = False
-        self.body = bytearray()
+        self.body = BodyBuffer()
         self.transport.abort()
         if response is not None and not response.done():
             response.set_exception(failure)
--- a/jackdawsill/http1/tests/test_server.py
+++ b/jackdawsill/http1/tests/test_server.py
@@ -7,7 +7,7 @@
 
 from jackdawsill.core.tests.searches import search
 from jackdawsill.forwarding import CallerLimits
-from jackdawsill.http1._server import CallServer, _CallerConnection
+from jackdawsill.http1._server import CallServer
 from jackdawsill.http1.tests.test_connection import split_at
 
 # Hypothesis settings: 150 examples, the same in every run.
@@ -71,7 +71,7 @@
             self.rejected.append,
             lambda: 0.0,
         )
-        self.conn = _CallerConnection(self.server)
+        self.conn = self.server.make_connection()
         self.transport = _FakeTransport()
         self.conn.connection_made(self.transport)
 
--- a/jackdawsill/http1/tests/test_small_chunks.py
+++ b/jackdawsill/http1/tests/test_small_chunks.py
@@ -9,8 +9,9 @@
 from jackdawsill.forwarding import CallerLimits
 from jackdawsill.http1 import ExchangeFailed
 from jackdawsill.http1._bounds import MAX_HEADERS
+from jackdawsill.http1._caller_connection import CallerConnection
 from jackdawsill.http1._keep_alive_client import _KeepAliveConnection
-from jackdawsill.http1._server import CallServer, _CallerConnection
+from jackdawsill.http1._server import CallServer
 from jackdawsill.http1.tests._fakes import FakePool, FakeTransport
 
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -51,7 +52,7 @@
         gc.enable()
 
 
-def make_caller_connection(max_body_bytes: int) -> _CallerConnection:
+def make_caller_connection(max_body_bytes: int) -> CallerConnection:
     """Return a caller's connection that has sent the head of a chunked request."""
     limits = CallerLimits(max_body_bytes=max_body_bytes)
 
@@ -61,7 +62,7 @@
     server = CallServer(
         unexpected, unexpected, lambda: limits, int, unexpected, lambda: 0.0
     )
-    conn = _CallerConnection(server)
+    conn = CallerConnection(server)
     conn.connection_made(FakeTransport())
     conn.data_received(b"POST /x HTTP/1.1\r\n" + CHUNKED)
     return conn
