--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -348,14 +348,6 @@
             n_hosts = self.limit_shares.divisor(replica.entry.service, now)
         return sendable_at(replica, n_hosts, now)
 
-    def limited_services(self) -> set[str]:
-        """Return the services of replicas that state a limit."""
-        return {
-            replica.entry.service
-            for replica in self.replicas_.values()
-            if replica.rate_share is not None
-        }
-
     def pick(
         self,
         service: str,
--- a/jackdawsill/relaying/_limit_demands.py
+++ b/jackdawsill/relaying/_limit_demands.py
@@ -72,7 +72,7 @@
     demands.sent_at_ = now
     registry = state.component(ReplicaRegistry)
     shares = registry.limit_shares
-    own = shares.make_report(registry.limited_services(), now)
+    own = shares.make_report(_limited_services(registry), now)
     if not feed.is_relay:
         if not own or feed.relay_state_ is not UpstreamState.SYNCED:
             return []
@@ -92,3 +92,12 @@
             for link_id in sorted(feed.relay_subscribers_)
         ),
     ]
+
+
+def _limited_services(registry: ReplicaRegistry) -> set[str]:
+    """Return the services of replicas that state a limit."""
+    return {
+        replica.entry.service
+        for replica in registry.replicas_.values()
+        if replica.rate_share is not None
+    }
