--- a/jackdawsill/forwarding/tests/_replicas_model.py
+++ b/jackdawsill/forwarding/tests/_replicas_model.py
@@ -1,11 +1,13 @@
 """Model of the replicas of one service, which a poison request ends."""
 
 from jackdawsill.core import Tick
-from jackdawsill.forwarding import ReplicasChanged
+from jackdawsill.forwarding import CrashEvidence, ReplicasChanged
+from jackdawsill.forwarding._crashes import fingerprint
 from jackdawsill.forwarding.tests._gateway_model import (
     GatewayModel,
     entry,
     position_at,
+    request,
     single_route,
 )
 
@@ -97,3 +99,9 @@
         """Return the requests that reached replicas later than the rule allows for."""
         third = sorted(self.poisoned.values())[2]
         return {id_ for at, id_ in self.reached if at > third + STABLE_WINDOW_S}
+
+    @property
+    def n_crashes(self) -> int:
+        """Return the number of crashes recorded against the poison request."""
+        evidence = self.host.state.component(CrashEvidence)
+        return evidence.count(fingerprint(request(POISON)))[0]
