Bound the connections of callers, and count what is rejected by its status

What callers could see: nothing bounded the connections of a host. With 1,535 descriptors, 200 of them reserved, idle callers could leave none for replicas, so that no request is served.

Change: of more than max_connections (a setting, 800) the one that is idle longest is closed; without an idle one, that which receives its request since longest gets 503; one with requests is never cut off. Rejected requests and closed connections are counted by cause, and their log lines are limited like all others (bad_call was not).

Evidence: three tests of TestManyConnections; not played with real descriptors.

--- a/jackdawsill/gateway/_log_events.py
+++ b/jackdawsill/gateway/_log_events.py
@@ -79,3 +79,10 @@
     "The host reads the store again after a delay. This is a fault of this program.",
     logbook.ERROR,
 )
+CONNECTION_CLOSED = register_log_event(
+    5312,
+    "caller_connection_closed",
+    "closed a caller's connection, as there are more than the settings allow",
+    "Of the connections without a request, the one that was idle for longest.",
+    logbook.NOTICE,
+)
--- a/jackdawsill/gateway/_process.py
+++ b/jackdawsill/gateway/_process.py
@@ -229,6 +229,8 @@
             self.state.next_id,
             self._on_reject,
             boot_clock,
+            self.cfg.host.max_connections,
+            self._on_overflow,
         )
 
     def _reply(
@@ -256,7 +258,7 @@
                 raw.method, raw.target, tuple(raw.headers), body
             )
         except ValueError as exc:
-            self.driver.log(log_events.BAD_CALL, detail=str(exc)[:200])
+            self._on_reject(400, str(exc))
             self._reply(call_id, 400)
             return
         if not is_delegated:
@@ -270,8 +272,15 @@
     def _on_caller_disconnected(self, call_id: int) -> None:
         self.driver.feed(CallAbandoned(call_id))
 
-    def _on_reject(self, status: int) -> None:
-        self.driver.log(log_events.BAD_CALL, detail=f"status {status}")
+    def _on_reject(self, status: int, detail: str = "") -> None:
+        labels = (("status", str(status)),)
+        self.operator_servers.record(Count("gateway_requests_rejected", labels=labels))
+        detail = detail[:200] or f"status {status}"
+        self._log(LogEvent(log_events.BAD_CALL, {"detail": detail}))
+
+    def _on_overflow(self) -> None:
+        self.operator_servers.record(Count("gateway_connections_closed"))
+        self._log(LogEvent(log_events.CONNECTION_CLOSED, {}))
 
     def _on_connected(self, replica: str, elapsed_s: float) -> None:
         self.driver.feed(ReplicaConnected(replica, elapsed_s))
--- a/jackdawsill/gateway/_reload.py
+++ b/jackdawsill/gateway/_reload.py
@@ -32,6 +32,7 @@
 RESTART_SETTINGS = frozenset(
     {
         "host.failure_domain",
+        "host.max_connections",
         "host.memory_mb",
         "host.name",
         "metrics.port",
@@ -49,6 +50,7 @@
     {
         "host.failure_domain",
         "host.link_mbps",
+        "host.max_connections",
         "host.memory_mb",
         "host.name",
         "ports.callers",
--- a/jackdawsill/gateway/_settings.py
+++ b/jackdawsill/gateway/_settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from jackdawsill.http1 import MAX_CONNECTIONS
 from jackdawsill.ini import IniSection
 from jackdawsill.ini_check import (
     BadSetting,
@@ -32,7 +33,8 @@
     `grace_s` is the time from the stop request to the kill. `link_mbps` is the
     bandwidth of the host's network link in Mbit/s; a host with a narrow one delegates
     fan-outs. `memory_mb` is the memory of the process, in MB of 10^6 bytes, which
-    bounds what unfinished responses of replicas may take.
+    bounds what unfinished responses of replicas may take. Above `max_connections`
+    connections of callers the one that is idle longest is closed.
     """
 
     name: Name
@@ -40,6 +42,7 @@
     grace_s: Seconds
     link_mbps: Annotated[float, msgspec.Meta(gt=0)]
     memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 128.0
+    max_connections: Annotated[int, msgspec.Meta(gt=0)] = MAX_CONNECTIONS
 
 
 class GatewayPorts(msgspec.Struct, frozen=True):
--- a/jackdawsill/http1/__init__.py
+++ b/jackdawsill/http1/__init__.py
@@ -19,12 +19,13 @@
 )
 from jackdawsill.http1._pool import encode_request
 from jackdawsill.http1._reply_codec import encode_reply
-from jackdawsill.http1._server import CallServer, OnRequest
+from jackdawsill.http1._server import MAX_CONNECTIONS, CallServer, OnRequest
 
 __all__ = [
     "DELEGATION_ATTEMPTS",
     "DELEGATION_DECLINED",
     "DELEGATION_VERSION",
+    "MAX_CONNECTIONS",
     "BaseHeaderCodec",
     "CallServer",
     "ExchangeFailed",
--- a/jackdawsill/http1/_caller_connection.py
+++ b/jackdawsill/http1/_caller_connection.py
@@ -110,8 +110,8 @@
         """Start the idle timeout."""
         self.transport = transport
         enable_tcp_keepalive(transport.get_extra_info("socket"))
-        self.server.connections.add(self)
         self._mark_idle()
+        self.server.admit(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the caller of the request in progress has disconnected."""
@@ -335,14 +335,20 @@
         if now - self.idle_since > idle_timeout_s:
             self.transport.close()
 
+    @property
+    def has_requests(self) -> bool:
+        """Return whether complete requests wait, or one is in progress."""
+        return bool(self.active_call_id or self.pipelined_requests or self.unparsed)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is in progress or being received."""
+        is_receiving = self.head_started_at is not None or self.partial_request
+        return not self.has_requests and not is_receiving
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress or being received."""
-        has_requests = self.active_call_id or self.pipelined_requests or self.unparsed
-        if (
-            not has_requests
-            and self.head_started_at is None
-            and self.partial_request is None
-        ):
+        if self.is_idle:
             self.transport.close()
 
     def _dispatch(self, req: RawRequest) -> None:
--- a/jackdawsill/http1/_server.py
+++ b/jackdawsill/http1/_server.py
@@ -13,6 +13,9 @@
 # Length of the accept queue. While it is full, a new connection is delayed by seconds,
 # because the client has to send its SYN again.
 BACKLOG = 1024
+# Default bound on the open connections. Descriptors are needed for replicas as well.
+MAX_CONNECTIONS = 800
+STATUS_BUSY = 503
 
 # Called with a call id and the request.
 OnRequest = Callable[[int, RawRequest], None]
@@ -25,7 +28,8 @@
     A call is one dispatched request. The clients are callers, other gateways that
     delegate calls, load balancers or operators. `on_caller_disconnected` gets the id
     of a call whose client closed the connection before the reply, `on_reject` the
-    status of a request that is malformed, too large or too slow.
+    status of a request that is malformed, too large or too slow. Of more than
+    `max_connections` one is closed, and reported to `on_overflow`.
     """
 
     def __init__(
@@ -36,7 +40,11 @@
         next_id: Callable[[], int],
         on_reject: Callable[[int], None],
         clock: Callable[[], float] = time.monotonic,
+        max_connections: int = MAX_CONNECTIONS,
+        on_overflow: Callable[[], None] = lambda: None,
     ) -> None:
+        self.max_connections = max_connections
+        self.on_overflow = on_overflow
         self.on_request = on_request
         self.on_caller_disconnected = on_caller_disconnected
         self.limits = limits
@@ -62,6 +70,27 @@
         """Return the protocol of a connection that opens."""
         return CallerConnection(self)
 
+    def admit(self, conn: CallerConnection) -> None:
+        """Register a connection; above the bound close the one that is idle longest.
+
+        Without an idle one, that which receives its request since longest is rejected,
+        and if all have requests, the new one is closed.
+        """
+        self.connections.add(conn)
+        if len(self.connections) <= self.max_connections:
+            return
+        self.on_overflow()
+        others = [
+            c
+            for c in self.connections
+            if c is not conn and not c.has_requests and not c.transport.is_closing()
+        ]
+        chosen = min(others, key=lambda c: (not c.is_idle, c.idle_since), default=conn)
+        if chosen.is_idle:
+            chosen.transport.close()
+        else:
+            chosen.reject(STATUS_BUSY)
+
     def stop_listening(self) -> None:
         """Accept no more connections; the open ones are served on."""
         if self._server is not None:
--- a/jackdawsill/http1/tests/test_pipelining.py
+++ b/jackdawsill/http1/tests/test_pipelining.py
@@ -222,3 +222,53 @@
             caller.wait(LIMITS.header_timeout_s + 1.0)
             caller.reply()
         self.assertEqual(caller.rejected, [])
+
+
+class TestManyConnections(unittest.TestCase):
+    """Above the bound a connection without a request is closed."""
+
+    def setUp(self):
+        self.caller = _Caller()
+        self.server = self.caller.server
+        self.server.max_connections = 4
+        self.n_closed = 0
+        self.server.on_overflow = self.count
+
+    def count(self):
+        """Count a connection that is closed."""
+        self.n_closed += 1
+
+    def connect(self, data: bytes = b"") -> _CallerTransport:
+        """Open a connection, send bytes on it, and return its transport."""
+        self.caller.now += 0.1
+        conn = self.server.make_connection()
+        transport = _CallerTransport()
+        conn.connection_made(transport)
+        if data:
+            conn.data_received(data)
+        return transport
+
+    def test_longest_idle(self):
+        """Guards against connections of callers that leave none for replicas."""
+        self.caller.feed(requests(1))
+        transports = [self.connect() for _ in range(4)]
+        self.assertEqual([t.closed for t in transports], [True, False, False, False])
+        self.assertFalse(self.caller.transport.closed)
+        self.assertEqual(self.n_closed, 1)
+
+    def test_none_is_idle(self):
+        """Guards against unfinished requests that keep all others out."""
+        self.caller.feed(requests(1))
+        transports = [self.connect(POST_HEAD) for _ in range(3)]
+        last = self.connect()
+        self.assertEqual([t.closed for t in transports], [True, False, False])
+        self.assertIn(b"503", transports[0].written)
+        self.assertFalse(last.closed)
+
+    def test_all_have_requests(self):
+        """Guards against requests in progress that are cut off."""
+        self.caller.feed(requests(1))
+        transports = [self.connect(requests(1)) for _ in range(3)]
+        last = self.connect()
+        self.assertTrue(last.closed)
+        self.assertFalse(any(t.closed for t in transports))
