Do not date the end of replicas that expired with the store away

An entry that does not return with the store tells that its replica ended, and not when. Its lost requests are evidence, but no repeats.

--- a/jackdawsill/forwarding/_registry.py
+++ b/jackdawsill/forwarding/_registry.py
@@ -215,10 +215,10 @@
         self._rebuild_index()
         return dropped
 
-    def _record_end(self, replica: LiveReplica, now: float) -> None:
+    def _record_end(self, replica: LiveReplica, at: float) -> None:
         """Record that a replica has ended, unless it was draining."""
         if not replica.entry.draining:
-            replica.ended_at = now
+            replica.ended_at = at
             self.ended_.append(replica)
 
     def expire(self, now: float) -> list[str]:
@@ -232,7 +232,8 @@
         ]
         self.ended_ = []
         for name in gone:
-            self._record_end(self.replicas_.pop(name), now)
+            # It may have ended at any time while the store was away.
+            self._record_end(self.replicas_.pop(name), -math.inf)
         if gone:
             self._rebuild_index()
         return gone
--- a/jackdawsill/forwarding/tests/test_crashes_in_progress.py
+++ b/jackdawsill/forwarding/tests/test_crashes_in_progress.py
@@ -95,6 +95,25 @@
         replicas.run(LAPSE_KEPT_S + 0.2)
         self.assertEqual(replicas.n_crashes, 1)
 
+    def test_replicas_that_end_together(self):
+        """Guards against refusing a request that an outage with the store has hit.
+
+        Requests are sent to replicas that have ended already, as the host cannot know.
+        """
+        replicas = Replicas(timeout_s=20.0, idempotent=False, n_attempts_max=1)
+        host = replicas.host
+        host.feed(StoreLost("refused"))
+        for _ in range(3):
+            replicas.call(POISON)
+            replicas.run(2.0)
+        replicas.run(ENTRY_REMOVED_S)
+        host.feed(StoreRegained())
+        replicas.run(LAPSE_KEPT_S + 0.2)
+        self.assertEqual(replicas.n_crashes, 3)
+        n_reached = len(replicas.reached)
+        replicas.call(POISON)
+        self.assertEqual(len(replicas.reached), n_reached + 1)
+
 
 class TestOutage(unittest.TestCase):
     """Replicas that end together, some with a reset and some in silence."""
