Drop trailers of the store's answers

Cause: a field after a chunked body replaced the header of its name, also Store-Era, by which a host decides whether revisions have begun anew. Evidence: test_trailer failed before.

--- a/jackdawsill/http1/_keep_alive_client.py
+++ b/jackdawsill/http1/_keep_alive_client.py
@@ -41,6 +41,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.response: asyncio.Future | None = None
         self.headers: dict[bytes, bytes] = {}
+        self.has_head = False
         self.body = BodyBuffer()
         self.meter = ResponseMeter(MAX_RESPONSE_BYTES)
         self.is_reusable = True
@@ -68,18 +69,22 @@
     def on_message_begin(self) -> None:
         """Begin a response; one without a request must not answer a later request."""
         self.headers = {}
+        self.has_head = False
         self.body = BodyBuffer()
         self.meter.start_response()
         if self.response is None:
             raise ValueError("a second response to one request")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header; of several with one name the last counts."""
+        """Collect a header, of several with one name the last; drop a trailer."""
+        if self.has_head:
+            return
         self.headers[name.lower()] = value
         self.meter.check_headers(len(self.headers))
 
     def on_headers_complete(self) -> None:
         """Raise ValueError for a status that HTTP/1.1 does not have."""
+        self.has_head = True
         check_status(self.parser.get_status_code())
 
     def on_body(self, data: bytes) -> None:
--- a/jackdawsill/http1/tests/test_statuses.py
+++ b/jackdawsill/http1/tests/test_statuses.py
@@ -92,3 +92,16 @@
                 self.assertTrue(fut.done())
                 self.assertIsInstance(fut.exception(), ExchangeFailed)
                 self.assertTrue(conn.transport.closed)
+
+
+class TestTrailersOfTheStore(unittest.IsolatedAsyncioTestCase):
+    """Fields after a body are no headers of the answer."""
+
+    async def test_trailer(self):
+        """Guards against an answer of the store whose era a trailer changes."""
+        conn = _KeepAliveConnection()
+        conn.transport = FakeTransport()
+        fut = conn.response = asyncio.get_running_loop().create_future()
+        head = b"HTTP/1.1 200 OK\r\nEra: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        conn.data_received(head + b"2\r\nok\r\n0\r\nEra: 2\r\n\r\n")
+        self.assertEqual(fut.result().headers[b"era"], b"1")
